--- /dev/null
+++ b/apps/heathergate/fake_upstream.cpp
@@ -0,0 +1,110 @@
+#include "fake_upstream.h"
+
+#include "options.h"
+
+#include <heathergate/daemon/settings.h>
+#include <heathergate/telemetry/logging.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace heathergate::app {
+
+namespace po = boost::program_options;
+
+namespace {
+
+std::atomic<bool> stopRequested = false;
+
+auto readNames(const po::variables_map &values, const char *name) -> std::vector<std::string>
+{
+    return values.count(name) > 0 ? values[name].as<std::vector<std::string>>()
+                                  : std::vector<std::string>();
+}
+
+void addOptions(OptionParser &parser)
+{
+    using Names = std::vector<std::string>;
+    parser.add()("id", po::value<std::string>()->required(), "Name of the upstream")(
+        "address", po::value<std::string>()->required(), "host:port to listen on")(
+        "announce", po::value<Names>()->composing()->required(),
+        "host:port of an instance to announce to; several are tried in turn")(
+        "token", po::value<std::string>()->required(), "Token for announcements")(
+        "failure-domain", po::value<std::string>()->default_value("default"), "Failure domain")(
+        "model", po::value<Names>()->composing(), "Serves this model, as an engine")(
+        "service", po::value<Names>()->composing(), "Serves this service")(
+        "slots", po::value<int>()->default_value(8), "Requests worked on at a time")(
+        "token-time-us", po::value<int>()->default_value(5000), "Time per token of a lone request")(
+        "token-slope-us", po::value<int>()->default_value(200), "Added per further request")(
+        "prefill-us", po::value<int>()->default_value(20), "Time per prompt token not cached")(
+        "cache-tokens", po::value<int>()->default_value(100'000), "Size of the prompt cache")(
+        "answer-tokens", po::value<int>()->default_value(64), "Longest answer")(
+        "service-ms", po::value<int>()->default_value(5), "Time a service call takes")(
+        "die-on", po::value<std::string>()->default_value(""), "Dies on a request holding this")(
+        "cut-on", po::value<std::string>()->default_value(""),
+        "Cuts the answer to a request holding this half-way")(
+        "silent-on", po::value<std::string>()->default_value(""),
+        "Never answers a request holding this")(
+        "late-on", po::value<std::string>()->default_value(""),
+        "Answers a request holding this late")("late-ms", po::value<int>()->default_value(2000),
+                                               "How late")(
+        "checks-fencing", "Refuses orders that carry an old fencing number")(
+        "forget-releases", "Loses the first order to release each program");
+}
+
+auto settingsFrom(const po::variables_map &values) -> FakeUpstreamSettings
+{
+    FakeUpstreamSettings settings;
+    settings.id = values["id"].as<std::string>();
+    settings.address = values["address"].as<std::string>();
+    settings.announceTo = readNames(values, "announce");
+    settings.token = values["token"].as<std::string>();
+    settings.domain = values["failure-domain"].as<std::string>();
+    settings.models = readNames(values, "model");
+    settings.services = readNames(values, "service");
+    settings.engine.slots = values["slots"].as<int>();
+    settings.engine.tokenTime = Duration(values["token-time-us"].as<int>());
+    settings.engine.tokenSlope = Duration(values["token-slope-us"].as<int>());
+    settings.engine.prefillTime = Duration(values["prefill-us"].as<int>());
+    settings.engine.cacheTokens = values["cache-tokens"].as<int>();
+    settings.engine.mostAnswerTokens = values["answer-tokens"].as<int>();
+    settings.serviceTime = std::chrono::milliseconds(values["service-ms"].as<int>());
+    settings.dieOn = values["die-on"].as<std::string>();
+    settings.cutOn = values["cut-on"].as<std::string>();
+    settings.silentOn = values["silent-on"].as<std::string>();
+    settings.lateOn = values["late-on"].as<std::string>();
+    settings.lateBy = std::chrono::milliseconds(values["late-ms"].as<int>());
+    settings.checksFencing = values.count("checks-fencing") > 0;
+    settings.forgetsReleases = values.count("forget-releases") > 0;
+    return settings;
+}
+
+} // namespace
+
+auto runFakeUpstream(const Arguments &arguments) -> int
+{
+    OptionParser parser("fake-upstream --id NAME --address HOST:PORT --announce HOST:PORT "
+                        "--token TOKEN [--model NAME | --service NAME]",
+                        "Runs a stand-in for a model engine or a plain service, with faults.");
+    addOptions(parser);
+    const auto values = parser.parse(arguments);
+    if (!values)
+        return parser.status();
+    const auto settings = settingsFrom(*values);
+    if (settings.models.empty() == settings.services.empty())
+        return report("needs either --model or --service");
+    if (const auto endpoint = daemon::parseEndpoint(settings.address); !endpoint)
+        return report("--address: " + endpoint.error().detail);
+    telemetry::startLogging(telemetry::LogLevel::Info, settings.id);
+    struct sigaction action{};
+    action.sa_handler = [](int) { stopRequested = true; };
+    sigaction(SIGTERM, &action, nullptr);
+    sigaction(SIGINT, &action, nullptr);
+    FakeUpstream upstream(settings);
+    if (const auto started = upstream.start(); !started)
+        return report(started.error().detail);
+    upstream.run(stopRequested);
+    return 0;
+}
+
+} // namespace heathergate::app
--- /dev/null
+++ b/apps/heathergate/fake_upstream.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <heathergate/http/http.h>
+#include <heathergate/testing/fake_engine.h>
+
+#include <atomic>
+#include <mutex>
+
+namespace heathergate::app {
+
+/// Identity, speed and faults of a fake upstream.
+struct FakeUpstreamSettings
+{
+    std::string id;
+    std::string address;
+    std::vector<std::string> announceTo;
+    std::string token;
+    std::string domain;
+    std::vector<std::string> models;
+    std::vector<std::string> services;
+    testing::FakeEngineSettings engine;
+    Duration serviceTime{};
+    std::string dieOn;
+    std::string cutOn;
+    std::string silentOn;
+    std::string lateOn;
+    Duration lateBy{};
+    bool checksFencing = false;
+    bool forgetsReleases = false;
+};
+
+/// A stand-in for an engine or a service as a process of its own: serves HTTP, announces itself,
+/// renews, and leaves when it is stopped.
+class FakeUpstream
+{
+public:
+    explicit FakeUpstream(FakeUpstreamSettings settings);
+
+    /// Starts to listen. Fails with `Code::BadSetting`.
+    [[nodiscard]] auto start() -> Result<void>;
+    /// Serves until `stop` is set.
+    void run(const std::atomic<bool> &stop);
+
+private:
+    struct Stream
+    {
+        http::Token token = 0;
+        bool cut = false;
+        std::int64_t tokens = 0;
+    };
+
+    struct Delayed
+    {
+        http::Token token = 0;
+        http::Response response;
+    };
+
+    [[nodiscard]] auto now() const -> TimePoint;
+    void handle(http::Token token, const http::Request &request);
+    void chat(http::Token token, const nlohmann::json &body);
+    void serve(http::Token token, const http::Request &request);
+    void order(http::Token token, const nlohmann::json &body);
+    void release(http::Token token, const nlohmann::json &body);
+    void statistics(http::Token token);
+    void produce();
+    void stream(const testing::FakeEngineEvent &event);
+    void keepAnnounced();
+    void post(const std::string &path, const nlohmann::json &body);
+    void announceEvent(const http::ClientEvent &event);
+    void leave();
+    [[nodiscard]] auto isFaulty(const std::string &marker, const std::string &content) const -> bool;
+
+    FakeUpstreamSettings m_settings;
+    std::string m_bootId;
+    std::mutex m_mutex;
+    Notifier m_notifier;
+    testing::FakeEngine m_engine;
+    std::uint64_t m_lastRequest = 0;
+    std::map<std::uint64_t, Stream> m_streams;
+    std::multimap<TimePoint, Delayed> m_delayed;
+    std::map<std::string, int> m_runs;
+    std::map<std::string, std::string> m_answers;
+    std::set<std::string> m_headerNames;
+    std::set<std::string> m_headerValues;
+    std::map<std::string, int> m_releases;
+    std::vector<nlohmann::json> m_orders;
+    std::uint64_t m_fencing = 0;
+    int m_calls = 0;
+
+    std::uint64_t m_incarnation = 0;
+    std::size_t m_instance = 0;
+    TimePoint m_nextRenewal{};
+    std::uint64_t m_lastPost = 0;
+    std::uint64_t m_awaited = 0;
+    std::string m_announceAnswer;
+    int m_announceStatus = 0;
+
+    std::unique_ptr<http::Client> m_client;
+    std::unique_ptr<http::Server> m_server;
+};
+
+} // namespace heathergate::app
--- /dev/null
+++ b/apps/heathergate/operator_client.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "options.h"
+
+#include <heathergate/core/core.h>
+
+namespace heathergate::app {
+
+/// What an instance answered to an operator.
+struct OperatorAnswer
+{
+    int status = 0;
+    std::string body;
+};
+
+/// Sends an operator's requests to an instance and prints the answers.
+class OperatorClient
+{
+public:
+    /// Adds the options that every operator command has: address and key.
+    static void addOptions(OptionParser &parser);
+
+    explicit OperatorClient(const boost::program_options::variables_map &values);
+
+    /// Sends a request. Fails if no instance answers.
+    [[nodiscard]] auto send(const std::string &method, const std::string &path,
+                            const std::string &body = {}, const std::string &accept = {},
+                            const std::string &contentType = "application/json") const
+        -> Result<OperatorAnswer>;
+
+    /// Sends a request and prints the answer. Returns the exit status.
+    [[nodiscard]] auto sendAndPrint(const std::string &method, const std::string &path,
+                                    const std::string &body = {},
+                                    const std::string &accept = {}) const -> int;
+
+private:
+    std::string m_address;
+    std::string m_key;
+    std::string m_editId;
+    std::string m_authority;
+};
+
+} // namespace heathergate::app
--- /dev/null
+++ b/libs/consensus/src/election.cpp
@@ -0,0 +1,155 @@
+#include <heathergate/consensus/replica.h>
+
+namespace heathergate::consensus {
+
+void Replica::startPreVote(TimePoint now)
+{
+    m_leader.reset();
+    m_preVoting = true;
+    m_role = Role::Follower;
+    m_votes = {m_self};
+    if (m_votes.size() >= m_configuration.quorum()) {
+        startElection(now, false);
+        return;
+    }
+    requestVotes(true, false);
+}
+
+void Replica::startElection(TimePoint now, bool transfer)
+{
+    m_preVoting = false;
+    m_role = Role::Candidate;
+    m_leader.reset();
+    ++m_hardState.term;
+    m_hardState.vote = m_self;
+    writeHardState();
+    m_votes = {m_self};
+    resetElectionTimer(now);
+    if (m_votes.size() >= m_configuration.quorum())
+        becomeLeader(now);
+    else
+        requestVotes(false, transfer);
+}
+
+void Replica::requestVotes(bool preVote, bool transfer)
+{
+    VoteRequest request;
+    request.term = m_hardState.term + (preVote ? 1 : 0);
+    request.lastIndex = m_log.lastIndex();
+    request.lastTerm = m_log.lastTerm();
+    request.preVote = preVote;
+    request.transfer = transfer;
+    for (const auto &voter : m_configuration.voters) {
+        if (voter != m_self)
+            send(voter, request);
+    }
+}
+
+void Replica::handle(TimePoint now, const ReplicaId &from, const VoteRequest &request)
+{
+    if (!m_configuration.isVoter(from))
+        return;
+    // A replica that hears its leader has confirmed the leader's lease; it must not help another
+    // one before that has run out, and keeps its term so that a returning replica disturbs nobody.
+    if (!request.transfer && hearsLeader(now))
+        return;
+    const auto upToDate = isUpToDate(request.lastIndex, request.lastTerm);
+    if (request.preVote) {
+        const auto granted = request.term > m_hardState.term && upToDate;
+        send(from, VoteReply{granted ? request.term : m_hardState.term, granted, true});
+        return;
+    }
+    if (request.term > m_hardState.term)
+        becomeFollower(now, request.term, std::nullopt);
+    const auto free = m_hardState.vote.empty() || m_hardState.vote == from;
+    const auto granted = request.term == m_hardState.term && free && upToDate
+                         && m_configuration.isVoter(m_self);
+    if (granted && m_hardState.vote.empty()) {
+        m_hardState.vote = from;
+        writeHardState();
+    }
+    if (granted)
+        resetElectionTimer(now);
+    send(from, VoteReply{m_hardState.term, granted, false});
+}
+
+void Replica::handle(TimePoint now, const ReplicaId &from, const VoteReply &reply)
+{
+    if (reply.term > m_hardState.term && !reply.preVote) {
+        becomeFollower(now, reply.term, std::nullopt);
+        return;
+    }
+    const auto awaited = reply.preVote ? m_preVoting && reply.term == m_hardState.term + 1
+                                       : m_role == Role::Candidate && reply.term == m_hardState.term;
+    if (!awaited || !reply.granted || !m_configuration.isVoter(from))
+        return;
+    m_votes.insert(from);
+    if (m_votes.size() < m_configuration.quorum())
+        return;
+    if (reply.preVote)
+        startElection(now, false);
+    else
+        becomeLeader(now);
+}
+
+void Replica::handle(TimePoint now, const ReplicaId &from, const TransferRequest &request)
+{
+    if (request.term == m_hardState.term && m_leader == from && m_configuration.isVoter(m_self))
+        startElection(now, true);
+}
+
+void Replica::becomeFollower(TimePoint now, Term term, std::optional<ReplicaId> leader)
+{
+    if (m_role == Role::Leader || m_leader != leader)
+        m_effects.leadershipChanged = true;
+    if (m_role == Role::Leader)
+        resetElectionTimer(now);
+    if (term != m_hardState.term || m_leader != leader)
+        m_verified = std::min(m_commit, m_log.lastIndex());
+    m_role = Role::Follower;
+    m_leader = std::move(leader);
+    m_preVoting = false;
+    m_progress.clear();
+    m_transferDeadline.reset();
+    if (term == m_hardState.term)
+        return;
+    m_hardState = HardState{term, ReplicaId{}};
+    writeHardState();
+}
+
+void Replica::becomeLeader(TimePoint now)
+{
+    m_role = Role::Leader;
+    m_leader = m_self;
+    m_leaderSince = now;
+    m_transferDeadline.reset();
+    m_incoming.reset();
+    m_effects.leadershipChanged = true;
+    m_progress.clear();
+    syncProgressWithMembers();
+    // An entry of its own term tells the leader what is committed.
+    m_termStart = appendLocal(now, EntryKind::Empty, {});
+}
+
+void Replica::resetElectionTimer(TimePoint now)
+{
+    const auto spread = static_cast<std::uint64_t>(m_settings.electionTimeout.count());
+    m_electionDeadline
+        = now + m_settings.electionTimeout + Duration(static_cast<std::int64_t>(m_random.below(spread)));
+}
+
+auto Replica::hearsLeader(TimePoint now) const -> bool
+{
+    if (m_role == Role::Leader)
+        return newestQuorumRound(now) + m_settings.electionTimeout > now;
+    return now < m_lastLeaderContact + m_settings.electionTimeout;
+}
+
+auto Replica::isUpToDate(Index lastIndex, Term lastTerm) const -> bool
+{
+    if (lastTerm != m_log.lastTerm())
+        return lastTerm > m_log.lastTerm();
+    return lastIndex >= m_log.lastIndex();
+}
+
+} // namespace heathergate::consensus
--- /dev/null
+++ b/libs/consensus/src/entry_log.cpp
@@ -0,0 +1,62 @@
+#include <heathergate/consensus/internal/entry_log.h>
+
+namespace heathergate::consensus::internal {
+
+void EntryLog::reset(Index index, Term term, GroupTime time)
+{
+    m_entries.clear();
+    m_baseIndex = index;
+    m_baseTerm = term;
+    m_baseTime = time;
+}
+
+void EntryLog::append(Entry entry)
+{
+    m_entries.push_back(std::move(entry));
+}
+
+void EntryLog::truncateFrom(Index from)
+{
+    while (!m_entries.empty() && m_entries.back().index >= from)
+        m_entries.pop_back();
+}
+
+void EntryLog::discardUpTo(Index upTo)
+{
+    while (!m_entries.empty() && m_entries.front().index <= upTo) {
+        m_baseIndex = m_entries.front().index;
+        m_baseTerm = m_entries.front().term;
+        m_baseTime = m_entries.front().time;
+        m_entries.pop_front();
+    }
+}
+
+auto EntryLog::termAt(Index index) const -> std::optional<Term>
+{
+    if (index == m_baseIndex)
+        return m_baseTerm;
+    if (index < m_baseIndex || index > lastIndex())
+        return std::nullopt;
+    return at(index).term;
+}
+
+auto EntryLog::at(Index index) const -> const Entry &
+{
+    return m_entries.at(index - m_baseIndex - 1);
+}
+
+auto EntryLog::slice(Index from, std::size_t maxBytes) const -> std::vector<Entry>
+{
+    std::vector<Entry> entries;
+    std::size_t bytes = 0;
+    for (auto index = from; index <= lastIndex(); ++index) {
+        const auto &entry = at(index);
+        bytes += entry.payload.size() + sizeof(Entry);
+        if (!entries.empty() && bytes > maxBytes)
+            break;
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
+} // namespace heathergate::consensus::internal
--- /dev/null
+++ b/libs/consensus/src/replica.cpp
@@ -0,0 +1,207 @@
+#include <heathergate/consensus/replica.h>
+
+namespace heathergate::consensus {
+
+Replica::Replica(ReplicaId self, Settings settings, Configuration genesis, RecoveredState recovered,
+                 Random random, TimePoint now)
+    : m_self(std::move(self))
+    , m_settings(settings)
+    , m_random(random)
+    , m_hardState(recovered.hardState)
+    , m_snapshot(std::move(recovered.snapshot))
+{
+    useConfiguration(0, std::move(genesis));
+    if (m_snapshot) {
+        const auto &meta = m_snapshot->meta;
+        m_log.reset(meta.index, meta.term, meta.time);
+        m_configurations.clear();
+        useConfiguration(meta.index, meta.configuration);
+        m_commit = meta.index;
+        m_effects.installed = m_snapshot;
+    }
+    for (auto &entry : recovered.entries) {
+        if (entry.index != m_log.lastIndex() + 1)
+            continue;
+        if (entry.kind == EntryKind::Configuration)
+            useConfiguration(entry.index,
+                             decode<Configuration>(entry.payload).value_or(m_configuration));
+        m_log.append(std::move(entry));
+    }
+    m_durable = m_log.lastIndex();
+    m_clock.observe(m_log.lastTime(), now);
+    // Before the restart this replica may have confirmed a leader's lease, so it neither votes
+    // nor stands until such a lease has run out.
+    m_lastLeaderContact = now;
+    resetElectionTimer(now);
+}
+
+void Replica::receive(TimePoint now, const Envelope &envelope)
+{
+    if (envelope.to != m_self)
+        return;
+    std::visit([&](const auto &message) { handle(now, envelope.from, message); },
+               envelope.message);
+}
+
+void Replica::tick(TimePoint now)
+{
+    if (m_role == Role::Leader) {
+        const auto quorumLost = now - newestQuorumRound(now) > m_settings.electionTimeout;
+        if (quorumLost && now - m_leaderSince > m_settings.electionTimeout) {
+            becomeFollower(now, m_hardState.term, std::nullopt);
+            return;
+        }
+        // The target may still win an election that ignores this leader's lease, so the lease must
+        // not come back in this term.
+        if (m_transferDeadline && now >= *m_transferDeadline) {
+            becomeFollower(now, m_hardState.term, std::nullopt);
+            return;
+        }
+        sendHeartbeats(now);
+        return;
+    }
+    if (now < m_electionDeadline)
+        return;
+    resetElectionTimer(now);
+    if (m_configuration.isVoter(m_self))
+        startPreVote(now);
+}
+
+void Replica::synced(TimePoint now, std::uint64_t number)
+{
+    m_syncedWrite = std::max(m_syncedWrite, number);
+    while (!m_pendingWrites.empty() && m_pendingWrites.front().number <= number) {
+        const auto &write = m_pendingWrites.front();
+        const auto term = m_log.termAt(write.lastIndex);
+        if (write.lastIndex > 0 && term && *term == write.lastTerm)
+            m_durable = std::max(m_durable, write.lastIndex);
+        m_pendingWrites.pop_front();
+    }
+    while (!m_held.empty() && m_held.front().afterWrite <= m_syncedWrite) {
+        m_effects.messages.push_back(std::move(m_held.front().envelope));
+        m_held.pop_front();
+    }
+    if (m_role == Role::Leader)
+        advanceCommit();
+    else
+        acknowledgeDurable();
+    static_cast<void>(now);
+}
+
+auto Replica::propose(TimePoint now, std::string payload) -> Result<Index>
+{
+    if (m_role != Role::Leader || m_transferDeadline)
+        return fail(Code::NotLeader, "this replica does not lead the group");
+    return appendLocal(now, EntryKind::Command, std::move(payload));
+}
+
+void Replica::transferLeadership(TimePoint now)
+{
+    if (m_role != Role::Leader || m_configuration.voters.size() < 2)
+        return;
+    const ReplicaId *target = nullptr;
+    Index best = 0;
+    for (const auto &[id, progress] : m_progress) {
+        if (!m_configuration.isVoter(id) || progress.match < best)
+            continue;
+        target = &id;
+        best = progress.match;
+    }
+    if (target == nullptr)
+        return;
+    // From here the lease no longer counts: the target may win an election at once.
+    m_transferDeadline = now + m_settings.electionTimeout;
+    sendAppend(now, *target, m_progress[*target], true);
+    send(*target, TransferRequest{m_hardState.term});
+}
+
+auto Replica::compact(Index index, std::shared_ptr<const std::string> state) -> SnapshotMeta
+{
+    SnapshotMeta meta{index, m_log.termAt(index).value_or(0), m_log.lastTime(),
+                      configurationAt(index)};
+    if (index >= m_log.firstIndex())
+        meta.time = m_log.at(index).time;
+    m_snapshot = Snapshot{meta, std::move(state)};
+    if (index > m_settings.retainedEntries)
+        m_log.discardUpTo(index - m_settings.retainedEntries);
+    return meta;
+}
+
+auto Replica::takeEffects(TimePoint now) -> Effects
+{
+    if (m_role == Role::Leader)
+        sendPendingEntries(now);
+    return std::exchange(m_effects, {});
+}
+
+auto Replica::canServeReads(TimePoint now) const -> bool
+{
+    if (m_role != Role::Leader || m_transferDeadline || !termCommitted())
+        return false;
+    return now < newestQuorumRound(now) + atLeastElapsed(m_settings.electionTimeout);
+}
+
+auto Replica::retainedState() const -> RecoveredState
+{
+    RecoveredState state;
+    state.hardState = m_hardState;
+    state.snapshot = m_snapshot;
+    for (auto index = m_log.firstIndex(); index <= m_log.lastIndex(); ++index)
+        state.entries.push_back(m_log.at(index));
+    return state;
+}
+
+auto Replica::nextDeadline() const -> TimePoint
+{
+    if (m_role != Role::Leader)
+        return m_electionDeadline;
+    auto deadline = TimePoint::max();
+    for (const auto &[id, progress] : m_progress)
+        deadline = std::min(deadline, progress.lastSent + m_settings.heartbeatInterval);
+    return deadline;
+}
+
+void Replica::send(const ReplicaId &to, Message message)
+{
+    if (m_lastHardStateWrite > m_syncedWrite)
+        m_held.push_back({m_lastHardStateWrite, {m_self, to, std::move(message)}});
+    else
+        m_effects.messages.push_back({m_self, to, std::move(message)});
+}
+
+void Replica::writeHardState()
+{
+    StorageWrite write;
+    write.hardState = m_hardState;
+    m_lastHardStateWrite = addWrite(std::move(write));
+}
+
+void Replica::writeEntries(std::vector<Entry> entries)
+{
+    StorageWrite write;
+    write.entries = std::move(entries);
+    addWrite(std::move(write));
+}
+
+auto Replica::addWrite(StorageWrite write) -> std::uint64_t
+{
+    write.number = ++m_lastWrite;
+    PendingWrite pending{write.number, 0, 0};
+    if (!write.entries.empty()) {
+        pending.lastIndex = write.entries.back().index;
+        pending.lastTerm = write.entries.back().term;
+    } else if (write.snapshot) {
+        pending.lastIndex = write.snapshot->meta.index;
+        pending.lastTerm = write.snapshot->meta.term;
+    }
+    m_pendingWrites.push_back(pending);
+    m_effects.writes.push_back(std::move(write));
+    return m_lastWrite;
+}
+
+auto Replica::termCommitted() const -> bool
+{
+    return m_commit >= m_termStart;
+}
+
+} // namespace heathergate::consensus
--- /dev/null
+++ b/libs/consensus/src/replication.cpp
@@ -0,0 +1,207 @@
+#include <heathergate/consensus/replica.h>
+
+namespace heathergate::consensus {
+
+void Replica::handle(TimePoint now, const ReplicaId &from, const AppendRequest &request)
+{
+    if (request.term < m_hardState.term) {
+        send(from, AppendReply{m_hardState.term, false, m_log.lastIndex(), request.round});
+        return;
+    }
+    if (request.term > m_hardState.term || m_leader != from || m_role != Role::Follower)
+        becomeFollower(now, request.term, from);
+    m_lastLeaderContact = now;
+    resetElectionTimer(now);
+    m_clock.observe(request.groupTime, now);
+    m_lastRound = request.round;
+    const auto known = m_log.termAt(request.previousIndex);
+    const auto beforeSnapshot = request.previousIndex < m_log.firstIndex() - 1;
+    if (!beforeSnapshot && (!known || *known != request.previousTerm)) {
+        // Everything committed agrees, so the leader need not go back further than that.
+        const auto hint = std::max(m_commit, std::min(m_log.lastIndex(),
+                                                      request.previousIndex - 1));
+        send(from, AppendReply{m_hardState.term, false, hint, request.round});
+        return;
+    }
+    acceptEntries(request.entries);
+    const auto last = request.previousIndex + request.entries.size();
+    m_verified = std::max(m_verified, std::max(last, m_commit));
+    commitUpTo(std::min(request.commit, m_verified));
+    send(from, AppendReply{m_hardState.term, true, std::min(m_durable, m_verified),
+                           request.round});
+}
+
+void Replica::acceptEntries(const std::vector<Entry> &entries)
+{
+    std::vector<Entry> added;
+    for (const auto &entry : entries) {
+        if (entry.index < m_log.firstIndex())
+            continue;
+        const auto term = m_log.termAt(entry.index);
+        if (term && *term == entry.term)
+            continue;
+        if (term) {
+            m_log.truncateFrom(entry.index);
+            dropConfigurationsFrom(entry.index);
+            m_durable = std::min(m_durable, entry.index - 1);
+            m_verified = std::min(m_verified, entry.index - 1);
+        }
+        if (entry.kind == EntryKind::Configuration)
+            useConfiguration(entry.index,
+                             decode<Configuration>(entry.payload).value_or(m_configuration));
+        m_log.append(entry);
+        added.push_back(entry);
+    }
+    if (!added.empty())
+        writeEntries(std::move(added));
+}
+
+void Replica::handle(TimePoint now, const ReplicaId &from, const AppendReply &reply)
+{
+    if (reply.term > m_hardState.term) {
+        becomeFollower(now, reply.term, std::nullopt);
+        return;
+    }
+    const auto member = m_progress.find(from);
+    if (m_role != Role::Leader || reply.term != m_hardState.term || member == m_progress.end())
+        return;
+    auto &progress = member->second;
+    progress.acknowledgedRound = std::max(progress.acknowledgedRound, reply.round);
+    if (!reply.success) {
+        progress.next = std::max(progress.match, std::min(reply.matchIndex, m_log.lastIndex())) + 1;
+        progress.probing = true;
+        sendAppend(now, from, progress, false);
+        return;
+    }
+    progress.probing = false;
+    progress.snapshotIndex = 0;
+    if (reply.matchIndex <= progress.match)
+        return;
+    progress.match = reply.matchIndex;
+    progress.next = std::max(progress.next, progress.match + 1);
+    advanceCommit();
+}
+
+void Replica::sendAppend(TimePoint now, const ReplicaId &to, internal::Progress &progress,
+                         bool withEntries)
+{
+    const auto previousTerm = m_log.termAt(progress.next - 1);
+    if (!previousTerm) {
+        sendSnapshotPiece(now, to, progress);
+        return;
+    }
+    AppendRequest request;
+    request.term = m_hardState.term;
+    request.previousIndex = progress.next - 1;
+    request.previousTerm = *previousTerm;
+    request.commit = m_commit;
+    request.groupTime = m_clock.at(now);
+    request.round = now;
+    if (withEntries) {
+        request.entries = m_log.slice(progress.next, m_settings.maxAppendBytes);
+        progress.next += request.entries.size();
+    }
+    progress.lastSent = now;
+    send(to, std::move(request));
+}
+
+void Replica::sendPendingEntries(TimePoint now)
+{
+    for (auto &[id, progress] : m_progress) {
+        while (!progress.probing && progress.next <= m_log.lastIndex()
+               && m_log.termAt(progress.next - 1)
+               && progress.next - progress.match <= m_settings.maxEntriesInFlight)
+            sendAppend(now, id, progress, true);
+    }
+}
+
+void Replica::sendHeartbeats(TimePoint now)
+{
+    for (auto &[id, progress] : m_progress) {
+        if (now - progress.lastSent < m_settings.heartbeatInterval)
+            continue;
+        // Without an answer for a whole interval what is in flight counts as lost.
+        if (progress.acknowledgedRound + 2 * m_settings.heartbeatInterval < now)
+            progress.probing = true;
+        sendAppend(now, id, progress, false);
+    }
+}
+
+void Replica::advanceCommit()
+{
+    std::vector<Index> matches;
+    for (const auto &voter : m_configuration.voters) {
+        const auto member = m_progress.find(voter);
+        if (voter == m_self)
+            matches.push_back(m_durable);
+        else
+            matches.push_back(member == m_progress.end() ? 0 : member->second.match);
+    }
+    if (matches.empty())
+        return;
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const auto index = matches[m_configuration.quorum() - 1];
+    const auto term = m_log.termAt(index);
+    // Only entries of the leader's own term are committed by counting (Raft, section 5.4.2).
+    if (index <= m_commit || !term || *term != m_hardState.term)
+        return;
+    commitUpTo(index);
+}
+
+void Replica::commitUpTo(Index index)
+{
+    while (m_commit < index) {
+        ++m_commit;
+        m_effects.committed.push_back(m_log.at(m_commit));
+    }
+    const auto removed = m_role == Role::Leader && !m_configuration.isVoter(m_self)
+                         && !m_configurations.empty()
+                         && m_configurations.back().index <= m_commit;
+    if (removed) {
+        m_role = Role::Follower;
+        m_leader.reset();
+        m_progress.clear();
+        m_effects.leadershipChanged = true;
+    }
+}
+
+void Replica::acknowledgeDurable()
+{
+    if (!m_leader || *m_leader == m_self)
+        return;
+    send(*m_leader,
+         AppendReply{m_hardState.term, true, std::min(m_durable, m_verified), m_lastRound});
+}
+
+auto Replica::appendLocal(TimePoint now, EntryKind kind, std::string payload) -> Index
+{
+    Entry entry;
+    entry.index = m_log.lastIndex() + 1;
+    entry.term = m_hardState.term;
+    entry.time = std::max(m_log.lastTime(), m_clock.at(now));
+    entry.kind = kind;
+    entry.payload = std::move(payload);
+    m_log.append(entry);
+    const auto index = entry.index;
+    writeEntries({std::move(entry)});
+    return index;
+}
+
+auto Replica::newestQuorumRound(TimePoint now) const -> TimePoint
+{
+    std::vector<TimePoint> rounds;
+    for (const auto &voter : m_configuration.voters) {
+        const auto member = m_progress.find(voter);
+        if (voter == m_self)
+            rounds.push_back(now);
+        else
+            rounds.push_back(member == m_progress.end() ? TimePoint{}
+                                                        : member->second.acknowledgedRound);
+    }
+    if (rounds.empty())
+        return TimePoint{};
+    std::sort(rounds.begin(), rounds.end(), std::greater<>());
+    return rounds[m_configuration.quorum() - 1];
+}
+
+} // namespace heathergate::consensus
--- /dev/null
+++ b/libs/consensus/src/snapshot_transfer.cpp
@@ -0,0 +1,96 @@
+#include <heathergate/consensus/replica.h>
+
+namespace heathergate::consensus {
+
+void Replica::sendSnapshotPiece(TimePoint now, const ReplicaId &to, internal::Progress &progress)
+{
+    progress.lastSent = now;
+    if (!m_snapshot)
+        return;
+    const auto &state = *m_snapshot->state;
+    if (progress.snapshotIndex != m_snapshot->meta.index) {
+        progress.snapshotIndex = m_snapshot->meta.index;
+        progress.snapshotOffset = 0;
+    }
+    SnapshotPiece piece;
+    piece.term = m_hardState.term;
+    piece.meta = m_snapshot->meta;
+    piece.size = state.size();
+    piece.digest = hash64(state);
+    piece.offset = std::min<std::uint64_t>(progress.snapshotOffset, state.size());
+    piece.round = now;
+    piece.bytes = state.substr(piece.offset, m_settings.snapshotPieceBytes);
+    send(to, std::move(piece));
+}
+
+void Replica::handle(TimePoint now, const ReplicaId &from, const SnapshotPiece &piece)
+{
+    if (piece.term < m_hardState.term) {
+        send(from, AppendReply{m_hardState.term, false, m_log.lastIndex(), piece.round});
+        return;
+    }
+    if (piece.term > m_hardState.term || m_leader != from || m_role != Role::Follower)
+        becomeFollower(now, piece.term, from);
+    m_lastLeaderContact = now;
+    m_lastRound = piece.round;
+    resetElectionTimer(now);
+    if (piece.meta.index <= m_commit) {
+        m_verified = std::max(m_verified, m_commit);
+        send(from, AppendReply{m_hardState.term, true, std::min(m_durable, m_commit),
+                               piece.round});
+        return;
+    }
+    // The digest lets a transfer go on after a change of leader, and only if the new leader's
+    // snapshot has the same bytes.
+    const auto same = m_incoming && m_incoming->meta.index == piece.meta.index
+                      && m_incoming->digest == piece.digest && m_incoming->size == piece.size;
+    if (!same)
+        m_incoming = IncomingSnapshot{piece.meta, piece.size, piece.digest, {}};
+    if (piece.offset == m_incoming->bytes.size())
+        m_incoming->bytes.append(piece.bytes);
+    const auto received = m_incoming->bytes.size();
+    if (received < m_incoming->size) {
+        send(from, SnapshotReply{m_hardState.term, piece.meta.index, received, piece.round});
+        return;
+    }
+    const auto incoming = *std::exchange(m_incoming, std::nullopt);
+    if (hash64(incoming.bytes) == incoming.digest)
+        install(incoming);
+}
+
+void Replica::install(const IncomingSnapshot &incoming)
+{
+    Snapshot snapshot{incoming.meta, std::make_shared<const std::string>(incoming.bytes)};
+    const auto &meta = snapshot.meta;
+    m_log.reset(meta.index, meta.term, meta.time);
+    m_configurations.clear();
+    useConfiguration(meta.index, meta.configuration);
+    m_commit = meta.index;
+    m_verified = meta.index;
+    m_durable = 0;
+    m_snapshot = snapshot;
+    m_effects.committed.clear();
+    m_effects.installed = snapshot;
+    StorageWrite write;
+    write.snapshot = std::move(snapshot);
+    addWrite(std::move(write));
+}
+
+void Replica::handle(TimePoint now, const ReplicaId &from, const SnapshotReply &reply)
+{
+    if (reply.term > m_hardState.term) {
+        becomeFollower(now, reply.term, std::nullopt);
+        return;
+    }
+    const auto member = m_progress.find(from);
+    if (m_role != Role::Leader || reply.term != m_hardState.term || member == m_progress.end())
+        return;
+    auto &progress = member->second;
+    progress.acknowledgedRound = std::max(progress.acknowledgedRound, reply.round);
+    if (progress.snapshotIndex != reply.index)
+        return;
+    progress.snapshotOffset = reply.offset;
+    sendSnapshotPiece(now, from, progress);
+}
+
+} // namespace heathergate::consensus
--- /dev/null
+++ b/libs/control/include/heathergate/control/control_state.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <heathergate/control/commands.h>
+
+#include <deque>
+
+namespace heathergate::control {
+
+/// Crashes of distinct upstreams after which a request is refused.
+constexpr std::size_t kPoisonCrashes = 2;
+
+/// The replicated control state: a deterministic function of the control log. Disk instances
+/// apply the log itself; the others apply the same entries as they are fed to them.
+class ControlState
+{
+public:
+    /// Applies the command at position `revision`, proposed at group time `time`.
+    auto apply(Revision revision, GroupTime time, const ControlCommand &command) -> ControlOutcome;
+
+    /// Moves on to a position whose entry holds no command.
+    void skip(Revision revision)
+    {
+        m_revision = revision;
+    }
+
+    [[nodiscard]] auto revision() const -> Revision
+    {
+        return m_revision;
+    }
+
+    [[nodiscard]] auto rows() const -> const std::map<CustomerId, TableRow> &
+    {
+        return m_rows;
+    }
+    /// Returns the row of a customer; null if there is none.
+    [[nodiscard]] auto row(const CustomerId &customer) const -> const TableRow *;
+    /// Returns the record of the key with this keyed hash; null if it is unknown or withdrawn.
+    [[nodiscard]] auto key(const std::string &keyHash) const -> const KeyRecord *;
+    [[nodiscard]] auto keys() const -> const std::map<std::string, KeyRecord> &
+    {
+        return m_keys;
+    }
+    [[nodiscard]] auto upstreams() const -> const std::map<UpstreamId, UpstreamRecord> &
+    {
+        return m_upstreams;
+    }
+    [[nodiscard]] auto instances() const -> const std::map<InstanceId, InstanceRecord> &
+    {
+        return m_instances;
+    }
+    [[nodiscard]] auto orders() const -> const std::map<std::uint64_t, OrderRecord> &
+    {
+        return m_orders;
+    }
+    [[nodiscard]] auto duties() const -> const std::map<std::string, DutyLease> &
+    {
+        return m_duties;
+    }
+    [[nodiscard]] auto replacements() const -> const std::vector<ReplacementRecord> &
+    {
+        return m_replacements;
+    }
+    /// Returns whether a request with this fingerprint is refused everywhere.
+    [[nodiscard]] auto isPoison(const std::string &fingerprint) const -> bool;
+    /// Returns whether a request with this fingerprint was running when an upstream died.
+    [[nodiscard]] auto isSuspect(const std::string &fingerprint) const -> bool;
+
+    friend void to_json(nlohmann::json &json, const ControlState &state);
+    friend void from_json(const nlohmann::json &json, ControlState &state);
+
+    /// Upstream incarnations that died while a request ran there.
+    struct Suspicion
+    {
+        std::set<std::string> crashes;
+        GroupTime lastCrash{};
+
+        NLOHMANN_DEFINE_TYPE_INTRUSIVE(Suspicion, crashes, lastCrash)
+    };
+
+    /// The answer an edit got, for its resends.
+    struct RememberedEdit
+    {
+        std::string editId;
+        ControlOutcome outcome;
+
+        NLOHMANN_DEFINE_TYPE_INTRUSIVE(RememberedEdit, editId, outcome)
+    };
+
+private:
+    auto applyOne(const EditRow &edit) -> ControlOutcome;
+    auto applyOne(const GiveKey &give) -> ControlOutcome;
+    auto applyOne(const WithdrawKey &withdraw) -> ControlOutcome;
+    auto applyOne(const AnnounceUpstream &announce) -> ControlOutcome;
+    auto applyOne(const RemoveUpstream &removal) -> ControlOutcome;
+    auto applyOne(const DrainUpstream &drain) -> ControlOutcome;
+    auto applyOne(const JoinInstance &join) -> ControlOutcome;
+    auto applyOne(const DrainInstance &drain) -> ControlOutcome;
+    auto applyOne(const RemoveInstance &removal) -> ControlOutcome;
+    auto applyOne(const ClaimDuty &claim) -> ControlOutcome;
+    auto applyOne(const GiveOrder &order) -> ControlOutcome;
+    auto applyOne(const SettleOrder &settlement) -> ControlOutcome;
+    auto applyOne(const ReportCrash &report) -> ControlOutcome;
+    auto applyOne(const ClearSuspect &clearing) -> ControlOutcome;
+    auto applyOne(const StartReplacement &start) -> ControlOutcome;
+    auto applyOne(const EndReplacement &end) -> ControlOutcome;
+
+    [[nodiscard]] auto accepted() const -> ControlOutcome;
+    [[nodiscard]] auto refused(Code code, std::string detail) const -> ControlOutcome;
+    [[nodiscard]] auto rememberedOutcome(const std::string &editId) const -> const ControlOutcome *;
+    void remember(const std::string &editId, const ControlOutcome &outcome);
+
+    Revision m_revision = 0;
+    GroupTime m_time{};
+    std::map<CustomerId, TableRow> m_rows;
+    std::map<std::string, KeyRecord> m_keys;
+    std::map<UpstreamId, UpstreamRecord> m_upstreams;
+    std::map<InstanceId, InstanceRecord> m_instances;
+    std::map<std::string, DutyLease> m_duties;
+    std::map<std::uint64_t, OrderRecord> m_orders;
+    std::map<std::string, Suspicion> m_suspects;
+    std::vector<ReplacementRecord> m_replacements;
+    std::deque<RememberedEdit> m_edits;
+    std::map<std::string, ControlOutcome> m_outcomes;
+};
+
+} // namespace heathergate::control
--- /dev/null
+++ b/libs/control/src/control_state.cpp
@@ -0,0 +1,307 @@
+#include <heathergate/control/control_state.h>
+
+namespace heathergate::control {
+
+namespace {
+
+constexpr std::size_t kRememberedEdits = 20'000;
+constexpr std::size_t kRememberedOrders = 1'000;
+constexpr Duration kSuspicionTtl = std::chrono::minutes(10);
+
+} // namespace
+
+auto ControlState::apply(Revision revision, GroupTime time, const ControlCommand &command)
+    -> ControlOutcome
+{
+    m_revision = revision;
+    m_time = std::max(m_time, time);
+    return std::visit(
+        [this](const auto &item) {
+            if constexpr (requires { item.editId; }) {
+                if (const auto *first = rememberedOutcome(item.editId))
+                    return *first;
+                const auto outcome = applyOne(item);
+                remember(item.editId, outcome);
+                return outcome;
+            } else {
+                return applyOne(item);
+            }
+        },
+        command);
+}
+
+auto ControlState::row(const CustomerId &customer) const -> const TableRow *
+{
+    const auto found = m_rows.find(customer);
+    return found == m_rows.end() ? nullptr : &found->second;
+}
+
+auto ControlState::key(const std::string &keyHash) const -> const KeyRecord *
+{
+    const auto found = m_keys.find(keyHash);
+    return found == m_keys.end() ? nullptr : &found->second;
+}
+
+auto ControlState::isPoison(const std::string &fingerprint) const -> bool
+{
+    const auto found = m_suspects.find(fingerprint);
+    return found != m_suspects.end() && found->second.crashes.size() >= kPoisonCrashes;
+}
+
+auto ControlState::isSuspect(const std::string &fingerprint) const -> bool
+{
+    return m_suspects.contains(fingerprint);
+}
+
+auto ControlState::applyOne(const EditRow &edit) -> ControlOutcome
+{
+    const auto *current = row(edit.customer);
+    const auto currentRevision = current == nullptr ? 0 : current->revision;
+    if (edit.expected != currentRevision) {
+        auto outcome = refused(Code::RevisionConflict,
+                               "the row has revision " + std::to_string(currentRevision));
+        if (current != nullptr)
+            outcome.row = *current;
+        return outcome;
+    }
+    if (!edit.values) {
+        m_rows.erase(edit.customer);
+        return accepted();
+    }
+    if (const auto allowed = checkRow(*edit.values); !allowed)
+        return refused(allowed.error().code, allowed.error().detail);
+    auto outcome = accepted();
+    outcome.row = TableRow{edit.customer, *edit.values, m_revision};
+    m_rows[edit.customer] = *outcome.row;
+    return outcome;
+}
+
+auto ControlState::applyOne(const GiveKey &give) -> ControlOutcome
+{
+    if (m_keys.contains(give.keyHash))
+        return refused(Code::AlreadyExists, "the key exists");
+    if (give.owner == KeyOwner::Caller && !m_rows.contains(give.holder))
+        return refused(Code::UnknownCustomer, "no row for customer " + give.holder.value);
+    m_keys[give.keyHash] = KeyRecord{give.id, give.owner, give.holder, m_revision};
+    return accepted();
+}
+
+auto ControlState::applyOne(const WithdrawKey &withdraw) -> ControlOutcome
+{
+    const auto removed = std::erase_if(
+        m_keys, [&](const auto &item) { return item.second.id == withdraw.id; });
+    if (removed == 0)
+        return refused(Code::UnknownKey, "no key " + withdraw.id.value);
+    return accepted();
+}
+
+auto ControlState::applyOne(const AnnounceUpstream &announce) -> ControlOutcome
+{
+    auto outcome = accepted();
+    const auto found = m_upstreams.find(announce.offer.id);
+    if (found != m_upstreams.end() && found->second.offer.bootId == announce.offer.bootId) {
+        outcome.number = found->second.incarnation;
+        return outcome;
+    }
+    std::erase_if(m_upstreams, [&](const auto &item) {
+        return item.second.offer.address == announce.offer.address;
+    });
+    m_upstreams[announce.offer.id] = UpstreamRecord{announce.offer, m_revision, false};
+    outcome.number = m_revision;
+    return outcome;
+}
+
+auto ControlState::applyOne(const RemoveUpstream &removal) -> ControlOutcome
+{
+    const auto found = m_upstreams.find(removal.id);
+    if (found == m_upstreams.end() || found->second.incarnation != removal.incarnation)
+        return refused(Code::UnknownUpstream, "no such incarnation of " + removal.id.value);
+    m_upstreams.erase(found);
+    return accepted();
+}
+
+auto ControlState::applyOne(const DrainUpstream &drain) -> ControlOutcome
+{
+    const auto found = m_upstreams.find(drain.id);
+    if (found == m_upstreams.end())
+        return refused(Code::UnknownUpstream, "no upstream " + drain.id.value);
+    found->second.draining = drain.draining;
+    return accepted();
+}
+
+auto ControlState::applyOne(const JoinInstance &join) -> ControlOutcome
+{
+    auto outcome = accepted();
+    auto &record = m_instances[join.offer.id];
+    if (record.offer.bootId == join.offer.bootId && !record.failed && record.incarnation > 0) {
+        outcome.number = record.incarnation;
+        return outcome;
+    }
+    record = InstanceRecord{join.offer, m_revision, false, false};
+    outcome.number = m_revision;
+    return outcome;
+}
+
+auto ControlState::applyOne(const DrainInstance &drain) -> ControlOutcome
+{
+    const auto found = m_instances.find(drain.id);
+    if (found == m_instances.end() || found->second.incarnation != drain.incarnation)
+        return refused(Code::BadRequest, "no such incarnation of " + drain.id.value);
+    found->second.draining = true;
+    return accepted();
+}
+
+auto ControlState::applyOne(const RemoveInstance &removal) -> ControlOutcome
+{
+    const auto found = m_instances.find(removal.id);
+    if (found == m_instances.end() || found->second.incarnation != removal.incarnation)
+        return refused(Code::BadRequest, "no such incarnation of " + removal.id.value);
+    if (removal.failed)
+        found->second.failed = true;
+    else
+        m_instances.erase(found);
+    return accepted();
+}
+
+auto ControlState::applyOne(const ClaimDuty &claim) -> ControlOutcome
+{
+    auto &lease = m_duties[claim.duty];
+    const auto held = lease.expiresAt > m_time && !lease.holder.empty();
+    if (held && lease.holder != claim.holder) {
+        auto outcome = refused(Code::NotLeader, claim.duty + " is held by " + lease.holder.value);
+        outcome.number = lease.fencing;
+        return outcome;
+    }
+    // A holder whose lease ran out may have missed another holder's term, so it counts as new.
+    if (!held)
+        ++lease.fencing;
+    lease.holder = claim.holder;
+    lease.expiresAt = m_time + surelyElapsed(claim.ttl);
+    auto outcome = accepted();
+    outcome.number = lease.fencing;
+    return outcome;
+}
+
+auto ControlState::applyOne(const GiveOrder &order) -> ControlOutcome
+{
+    if (!m_upstreams.contains(order.upstream))
+        return refused(Code::UnknownUpstream, "no upstream " + order.upstream.value);
+    auto outcome = accepted();
+    outcome.number = m_revision;
+    m_orders[m_revision]
+        = OrderRecord{m_revision, order.upstream, order.action, order.argument, OrderState::Pending};
+    while (m_orders.size() > kRememberedOrders)
+        m_orders.erase(m_orders.begin());
+    return outcome;
+}
+
+auto ControlState::applyOne(const SettleOrder &settlement) -> ControlOutcome
+{
+    const auto found = m_orders.find(settlement.number);
+    if (found == m_orders.end() || found->second.state != OrderState::Pending)
+        return refused(Code::BadRequest, "no pending order of this number");
+    found->second.state = settlement.state;
+    return accepted();
+}
+
+auto ControlState::applyOne(const ReportCrash &report) -> ControlOutcome
+{
+    // Suspicions that came to nothing are dropped, so that bystanders are not blamed for long.
+    std::erase_if(m_suspects, [this](const auto &item) {
+        return item.second.crashes.size() < kPoisonCrashes
+               && item.second.lastCrash + kSuspicionTtl < m_time;
+    });
+    auto &suspicion = m_suspects[report.fingerprint];
+    suspicion.crashes.insert(report.upstream.value + "#" + std::to_string(report.incarnation));
+    suspicion.lastCrash = m_time;
+    auto outcome = accepted();
+    outcome.number = suspicion.crashes.size();
+    return outcome;
+}
+
+auto ControlState::applyOne(const ClearSuspect &clearing) -> ControlOutcome
+{
+    if (!isPoison(clearing.fingerprint))
+        m_suspects.erase(clearing.fingerprint);
+    return accepted();
+}
+
+auto ControlState::applyOne(const StartReplacement &start) -> ControlOutcome
+{
+    if (!m_replacements.empty())
+        return refused(Code::CallInProgress, "another replacement is under way");
+    m_replacements.push_back(start.replacement);
+    return accepted();
+}
+
+auto ControlState::applyOne(const EndReplacement &end) -> ControlOutcome
+{
+    std::erase_if(m_replacements,
+                  [&](const auto &item) { return item.oldReplica == end.oldReplica; });
+    return accepted();
+}
+
+auto ControlState::accepted() const -> ControlOutcome
+{
+    ControlOutcome outcome;
+    outcome.revision = m_revision;
+    return outcome;
+}
+
+auto ControlState::refused(Code code, std::string detail) const -> ControlOutcome
+{
+    ControlOutcome outcome;
+    outcome.error = Error{code, std::move(detail), Ran::No, {}};
+    return outcome;
+}
+
+auto ControlState::rememberedOutcome(const std::string &editId) const -> const ControlOutcome *
+{
+    const auto found = m_outcomes.find(editId);
+    return found == m_outcomes.end() ? nullptr : &found->second;
+}
+
+void ControlState::remember(const std::string &editId, const ControlOutcome &outcome)
+{
+    m_edits.push_back({editId, outcome});
+    m_outcomes[editId] = outcome;
+    if (m_edits.size() <= kRememberedEdits)
+        return;
+    m_outcomes.erase(m_edits.front().editId);
+    m_edits.pop_front();
+}
+
+void to_json(nlohmann::json &json, const ControlState &state)
+{
+    json = {{"revision", state.m_revision},
+            {"time", state.m_time},
+            {"rows", state.m_rows},
+            {"keys", state.m_keys},
+            {"upstreams", state.m_upstreams},
+            {"instances", state.m_instances},
+            {"duties", state.m_duties},
+            {"orders", state.m_orders},
+            {"suspects", state.m_suspects},
+            {"replacements", state.m_replacements},
+            {"edits", state.m_edits}};
+}
+
+void from_json(const nlohmann::json &json, ControlState &state)
+{
+    json.at("revision").get_to(state.m_revision);
+    json.at("time").get_to(state.m_time);
+    json.at("rows").get_to(state.m_rows);
+    json.at("keys").get_to(state.m_keys);
+    json.at("upstreams").get_to(state.m_upstreams);
+    json.at("instances").get_to(state.m_instances);
+    json.at("duties").get_to(state.m_duties);
+    json.at("orders").get_to(state.m_orders);
+    json.at("suspects").get_to(state.m_suspects);
+    json.at("replacements").get_to(state.m_replacements);
+    json.at("edits").get_to(state.m_edits);
+    state.m_outcomes.clear();
+    for (const auto &edit : state.m_edits)
+        state.m_outcomes[edit.editId] = edit.outcome;
+}
+
+} // namespace heathergate::control
--- /dev/null
+++ b/libs/core/include/heathergate/core/codec.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <heathergate/core/result.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <optional>
+#include <string_view>
+#include <variant>
+
+/// Compact encoding (CBOR) of typed structures that have JSON conversions.
+namespace heathergate {
+
+/// Returns the CBOR encoding of `value`.
+template <typename T>
+[[nodiscard]] auto encode(const T &value) -> std::string
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(nlohmann::json(value), bytes);
+    return bytes;
+}
+
+/// Decodes a value. Fails with `Code::BadFrame` if `bytes` are not the encoding of a `T`.
+template <typename T>
+[[nodiscard]] auto decode(std::string_view bytes) -> Result<T>
+{
+    try {
+        return nlohmann::json::from_cbor(bytes.begin(), bytes.end()).template get<T>();
+    } catch (const nlohmann::json::exception &error) {
+        return fail(Code::BadFrame, error.what());
+    }
+}
+
+namespace internal {
+
+template <typename Variant, std::size_t index = 0>
+void variantFromJson(const nlohmann::json &json, std::size_t wanted, Variant &value)
+{
+    if constexpr (index < std::variant_size_v<Variant>) {
+        if (index == wanted)
+            value = json.get<std::variant_alternative_t<index, Variant>>();
+        else
+            variantFromJson<Variant, index + 1>(json, wanted, value);
+    } else {
+        throw nlohmann::json::other_error::create(501, "unknown alternative", &json);
+    }
+}
+
+} // namespace internal
+
+/// Returns the CBOR encoding of a variant: its alternative's position and value. Positions are
+/// part of the stored format, so alternatives are only ever added at the end.
+template <typename... Types>
+[[nodiscard]] auto encodeVariant(const std::variant<Types...> &value) -> std::string
+{
+    auto json = nlohmann::json::array();
+    json.push_back(value.index());
+    std::visit([&json](const auto &alternative) { json.push_back(alternative); }, value);
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    return bytes;
+}
+
+/// Decodes what `encodeVariant` returned. Fails with `Code::BadFrame`.
+template <typename Variant>
+[[nodiscard]] auto decodeVariant(std::string_view bytes) -> Result<Variant>
+{
+    try {
+        const auto json = nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+        Variant value;
+        internal::variantFromJson(json.at(1), json.at(0).get<std::size_t>(), value);
+        return value;
+    } catch (const nlohmann::json::exception &error) {
+        return fail(Code::BadFrame, error.what());
+    }
+}
+
+} // namespace heathergate
+
+namespace nlohmann {
+
+/// Durations travel as counts of microseconds.
+template <>
+struct adl_serializer<heathergate::Duration>
+{
+    static void to_json(json &out, const heathergate::Duration &value)
+    {
+        out = value.count();
+    }
+
+    static void from_json(const json &in, heathergate::Duration &value)
+    {
+        value = heathergate::Duration(in.get<std::int64_t>());
+    }
+};
+
+/// Errors travel whole, so that the instance that answers the caller can repeat them.
+template <>
+struct adl_serializer<heathergate::Error>
+{
+    static void to_json(json &out, const heathergate::Error &error)
+    {
+        out = json{{"code", static_cast<int>(error.code)},
+                   {"detail", error.detail},
+                   {"ran", static_cast<int>(error.ran)},
+                   {"retryAfter", error.retryAfter.count()}};
+    }
+
+    static void from_json(const json &in, heathergate::Error &error)
+    {
+        error.code = static_cast<heathergate::Code>(in.at("code").get<int>());
+        error.detail = in.at("detail").get<std::string>();
+        error.ran = static_cast<heathergate::Ran>(in.at("ran").get<int>());
+        error.retryAfter = heathergate::Duration(in.at("retryAfter").get<std::int64_t>());
+    }
+};
+
+template <typename T>
+struct adl_serializer<std::optional<T>>
+{
+    static void to_json(json &out, const std::optional<T> &value)
+    {
+        if (value)
+            out = *value;
+        else
+            out = nullptr;
+    }
+
+    static void from_json(const json &in, std::optional<T> &value)
+    {
+        if (in.is_null())
+            value.reset();
+        else
+            value = in.get<T>();
+    }
+};
+
+} // namespace nlohmann
--- /dev/null
+++ b/libs/core/include/heathergate/core/ids.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+
+/// Identifier types. Each is a distinct type, so that a customer cannot be passed for a program.
+namespace heathergate {
+
+/// An identifier held as text; `Tag` makes it a type of its own.
+template <typename Tag>
+struct TextId
+{
+    std::string value;
+
+    TextId() = default;
+    explicit TextId(std::string text)
+        : value(std::move(text))
+    {
+    }
+
+    [[nodiscard]] auto empty() const -> bool
+    {
+        return value.empty();
+    }
+
+    auto operator<=>(const TextId &) const = default;
+
+    friend void to_json(nlohmann::json &json, const TextId &id)
+    {
+        json = id.value;
+    }
+
+    friend void from_json(const nlohmann::json &json, TextId &id)
+    {
+        json.get_to(id.value);
+    }
+
+    friend auto operator<<(std::ostream &out, const TextId &id) -> std::ostream &
+    {
+        return out << id.value;
+    }
+};
+
+using CustomerId = TextId<struct CustomerTag>;
+using ProgramId = TextId<struct ProgramTag>;
+using CallId = TextId<struct CallTag>;
+using UpstreamId = TextId<struct UpstreamTag>;
+using InstanceId = TextId<struct InstanceTag>;
+using FailureDomainId = TextId<struct FailureDomainTag>;
+using KeyId = TextId<struct KeyTag>;
+
+/// Number of a consensus group. Group 0 is the control group; program shards follow from 1.
+using GroupId = std::uint32_t;
+constexpr GroupId kControlGroup = 0;
+
+} // namespace heathergate
+
+template <typename Tag>
+struct std::hash<heathergate::TextId<Tag>>
+{
+    auto operator()(const heathergate::TextId<Tag> &id) const noexcept -> std::size_t
+    {
+        return std::hash<std::string>{}(id.value);
+    }
+};
--- /dev/null
+++ b/libs/core/include/heathergate/core/ring.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <boost/lockfree/spsc_queue.hpp>
+#include <condition_variable>
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <optional>
+
+#include <heathergate/core/time.h>
+
+namespace heathergate {
+
+/// Wakes a thread that waits for any of its rings to fill.
+class Notifier
+{
+public:
+    /// Wakes the waiting thread; remembered if it is not waiting now.
+    void notify()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_pending = true;
+        }
+        m_condition.notify_one();
+    }
+
+    /// Waits for a notification, at most for `timeout`.
+    void wait(Duration timeout)
+    {
+        std::unique_lock lock(m_mutex);
+        m_condition.wait_for(lock, timeout, [this] { return m_pending; });
+        m_pending = false;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_condition;
+    bool m_pending = false;
+};
+
+/// A bounded ring between exactly one producing and one consuming thread.
+template <typename T>
+class Ring
+{
+public:
+    /// Creates a ring of `capacity` places; `wake` is called after each push to wake the consumer.
+    Ring(std::size_t capacity, std::function<void()> wake)
+        : m_queue(capacity)
+        , m_wake(std::move(wake))
+    {
+    }
+
+    /// Adds an item and wakes the consumer. Returns false, leaving `item` as it was, if the ring
+    /// is full.
+    [[nodiscard]] auto push(T &&item) -> bool
+    {
+        if (!m_queue.push(std::move(item)))
+            return false;
+        m_wake();
+        return true;
+    }
+
+    /// Takes the oldest item; nothing if the ring is empty.
+    [[nodiscard]] auto pop() -> std::optional<T>
+    {
+        if (m_queue.read_available() == 0)
+            return std::nullopt;
+        std::optional<T> item(std::move(m_queue.front()));
+        m_queue.pop();
+        return item;
+    }
+
+private:
+    boost::lockfree::spsc_queue<T> m_queue;
+    std::function<void()> m_wake;
+};
+
+} // namespace heathergate
--- /dev/null
+++ b/libs/daemon/include/heathergate/daemon/daemon.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Umbrella header of the daemon library: an instance as a state machine, and the threads that
+/// run it.
+#include <heathergate/daemon/instance.h>
+#include <heathergate/daemon/server.h>
+#include <heathergate/daemon/settings.h>
--- /dev/null
+++ b/libs/daemon/include/heathergate/daemon/internal/call.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <heathergate/daemon/internal/entry_context.h>
+#include <heathergate/http/event_stream.h>
+#include <heathergate/routing/routing.h>
+
+namespace heathergate::daemon::internal {
+
+/// Where a call stands on its way through the instance.
+enum class CallPhase {
+    /// Waits for allowance under its customer's rate.
+    Admitting,
+    /// Waits for an earlier call of its program on this instance.
+    WaitingForProgram,
+    /// Waits for an upstream.
+    Queued,
+    /// Its intent is being recorded.
+    Beginning,
+    /// An upstream works on it.
+    Running,
+    /// Its upstream cut the connection; the cause is being looked into.
+    Probing,
+    /// Its outcome is being recorded.
+    Finishing,
+};
+
+/// What a caller asked for, checked.
+struct CallRequest
+{
+    http::Token token = 0;
+    std::string keyHash;
+    CustomerId customer;
+    int priority = 0;
+    double weight = 1;
+    /// The program it belongs to; nothing for calls that leave no record.
+    std::optional<programs::ProgramKey> program;
+    bool standalone = false;
+    CallId callId;
+    programs::CallKind kind = programs::CallKind::Model;
+    bool idempotent = false;
+    int turn = 0;
+    std::string digest;
+    std::string fingerprint;
+    /// "model:NAME" or "service:NAME".
+    std::string lane;
+    TimePoint deadline{};
+    std::string traceparent;
+
+    // Model calls.
+    std::string model;
+    nlohmann::json newMessages = nlohmann::json::array();
+    std::int64_t maxTokens = 0;
+    bool stream = false;
+
+    // Service calls.
+    std::string method;
+    std::string path;
+    std::string contentType;
+    std::string body;
+};
+
+/// What an upstream has answered in the current attempt.
+struct Answer
+{
+    int status = 0;
+    std::string contentType;
+    std::string body;
+    /// Text of a model's answer.
+    std::string text;
+    std::string finishReason;
+    std::int64_t completionTokens = 0;
+    std::int64_t promptTokens = 0;
+    std::int64_t cachedTokens = 0;
+    bool done = false;
+    http::EventStreamReader events;
+};
+
+/// A call under way.
+struct Call
+{
+    std::uint64_t id = 0;
+    CallRequest request;
+    CallPhase phase = CallPhase::Admitting;
+    TimePoint arrivedAt{};
+    bool askedForAllowance = false;
+
+    int attempt = 0;
+    int retries = 0;
+    /// Whether the request may run elsewhere, as the ledger said when it refused the intent.
+    Ran ranElsewhere = Ran::No;
+    UpstreamId upstream;
+    std::uint64_t upstreamIncarnation = 0;
+    std::string upstreamAddress;
+    std::set<UpstreamId> excluded;
+    routing::PromptPrefixes prompt;
+    std::uint64_t outgoing = 0;
+    TimePoint sentAt{};
+    TimePoint lastProgress{};
+    Answer answer;
+
+    /// Text already passed on to the caller, over all attempts.
+    std::string passedText;
+    bool streamBegun = false;
+};
+
+} // namespace heathergate::daemon::internal
--- /dev/null
+++ b/libs/daemon/include/heathergate/daemon/internal/timer_queue.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <heathergate/core/time.h>
+
+#include <functional>
+#include <map>
+
+namespace heathergate::daemon::internal {
+
+/// Actions to be carried out at given times, in order.
+class TimerQueue
+{
+public:
+    using Action = std::function<void(TimePoint)>;
+
+    void add(TimePoint at, Action action)
+    {
+        m_actions.emplace(at, std::move(action));
+    }
+
+    /// Carries out all actions that are due.
+    void run(TimePoint now)
+    {
+        while (!m_actions.empty() && m_actions.begin()->first <= now) {
+            const auto action = std::move(m_actions.begin()->second);
+            m_actions.erase(m_actions.begin());
+            action(now);
+        }
+    }
+
+    [[nodiscard]] auto nextDeadline() const -> TimePoint
+    {
+        return m_actions.empty() ? TimePoint::max() : m_actions.begin()->first;
+    }
+
+private:
+    std::multimap<TimePoint, Action> m_actions;
+};
+
+} // namespace heathergate::daemon::internal
--- /dev/null
+++ b/libs/daemon/include/heathergate/daemon/internal/upstream_api.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <heathergate/daemon/internal/call_runner.h>
+
+namespace heathergate::daemon::internal {
+
+/// The routes on which upstreams announce themselves, renew, report and leave.
+class UpstreamApi
+{
+public:
+    UpstreamApi(EntryContext &context, CallRunner &runner)
+        : m_context(context)
+        , m_runner(runner)
+    {
+    }
+
+    /// Handles a request if it is for one of these routes. Returns whether it was.
+    auto handle(TimePoint now, http::Token token, const http::Request &request) -> bool;
+
+    /// Returns and forgets the renewals received since the last call.
+    [[nodiscard]] auto takeRenewals() -> std::vector<wire::UpstreamLoad>;
+
+private:
+    void announce(TimePoint now, http::Token token, const nlohmann::json &body);
+    void renew(http::Token token, const nlohmann::json &body);
+    void leave(TimePoint now, http::Token token, const nlohmann::json &body);
+
+    EntryContext &m_context;
+    CallRunner &m_runner;
+    std::map<UpstreamId, wire::UpstreamLoad> m_renewals;
+};
+
+} // namespace heathergate::daemon::internal
--- /dev/null
+++ b/libs/daemon/include/heathergate/daemon/problem.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <heathergate/http/message.h>
+
+namespace heathergate::daemon {
+
+/// Returns an error as a problem document (RFC 9457) with the numbered result code, whether the
+/// request ran, and `Retry-After` where the error advises it.
+[[nodiscard]] auto problemResponse(const Error &error) -> http::Response;
+
+/// Returns a JSON answer.
+[[nodiscard]] auto jsonResponse(const nlohmann::json &body, int status = 200) -> http::Response;
+
+/// Parses a JSON object of at most `maxDepth` levels. Fails with `Code::BadRequest`.
+[[nodiscard]] auto parseJsonObject(const std::string &text, int maxDepth = 32)
+    -> Result<nlohmann::json>;
+
+} // namespace heathergate::daemon
--- /dev/null
+++ b/libs/daemon/include/heathergate/daemon/replica_host.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include <heathergate/consensus/consensus.h>
+#include <heathergate/control/control.h>
+#include <heathergate/programs/programs.h>
+#include <heathergate/wire/wire.h>
+
+#include <deque>
+
+namespace heathergate::daemon {
+
+/// A write of one group, to be made durable by the log thread.
+struct GroupWrite
+{
+    GroupId group = 0;
+    consensus::StorageWrite write;
+};
+
+/// Replaces the stored log: the snapshots first, then the records in place of all others.
+struct Compaction
+{
+    std::vector<std::pair<GroupId, consensus::Snapshot>> snapshots;
+    std::vector<wire::StoredRecord> records;
+};
+
+/// Something for the log thread, in order.
+using StorageStep = std::variant<GroupWrite, Compaction>;
+
+/// An order to an upstream that a leader has to give.
+struct UpstreamOrder
+{
+    UpstreamId upstream;
+    std::string address;
+    /// Path and JSON body of the order.
+    std::string path;
+    std::string body;
+    /// Reported back with `orderDone`.
+    std::variant<programs::PendingRelease, std::uint64_t> subject;
+};
+
+/// What has to be done outside after a step of the host.
+struct HostOutput
+{
+    std::vector<std::pair<InstanceId, wire::PeerMessage>> messages;
+    std::vector<StorageStep> storage;
+    std::vector<UpstreamOrder> orders;
+};
+
+/// Identity and sizes of a host.
+struct HostSettings
+{
+    InstanceId self;
+    consensus::ReplicaId replica;
+    /// First configuration of every group; empty for a disk that waits to be added.
+    consensus::Configuration genesis;
+    std::uint32_t shards = 1;
+    consensus::Settings consensus;
+    /// Applied entries after which a group's state is stored as a snapshot.
+    consensus::Index compactAfter = 50'000;
+    Duration instanceTimeout = std::chrono::seconds(5);
+    Duration upstreamTimeout = std::chrono::seconds(6);
+};
+
+/// Returns the instance that a replica lives on.
+[[nodiscard]] auto instanceOf(const consensus::ReplicaId &replica) -> InstanceId;
+
+/// All replicas of one disk instance: the control group and the program shards. A state machine
+/// without I/O; it answers requests to the groups it leads, feeds instances with the control
+/// state, detects failed members, and drives expiry, releases and replacements.
+class ReplicaHost
+{
+public:
+    ReplicaHost(HostSettings settings, std::map<GroupId, consensus::RecoveredState> recovered,
+                Random random, TimePoint now);
+
+    /// Takes in a message from an instance.
+    void receive(TimePoint now, const InstanceId &from, const wire::PeerMessage &message);
+    /// Lets time pass.
+    void tick(TimePoint now);
+    /// Says that a group's writes up to `number` are durable.
+    void synced(TimePoint now, GroupId group, std::uint64_t number);
+    /// Says how an order to an upstream ended.
+    void orderDone(TimePoint now, const UpstreamOrder &order, bool acknowledged);
+    /// Hands over leadership of all groups.
+    void transferLeadership(TimePoint now);
+    /// Returns whether any group is led here.
+    [[nodiscard]] auto leadsAny() const -> bool;
+
+    /// Returns and forgets what has to be done outside.
+    [[nodiscard]] auto takeOutput(TimePoint now) -> HostOutput;
+    /// Returns the latest time by which `tick` has to be called.
+    [[nodiscard]] auto nextDeadline() const -> TimePoint;
+
+    [[nodiscard]] auto controlState() const -> const control::ControlState &
+    {
+        return m_control;
+    }
+    /// Returns a group's replica; for tests and reports.
+    [[nodiscard]] auto replica(GroupId group) const -> const consensus::Replica &
+    {
+        return m_groups.at(group).replica;
+    }
+    [[nodiscard]] auto ledger(GroupId group) const -> const programs::ProgramLedger &
+    {
+        return m_groups.at(group).ledger;
+    }
+
+private:
+    struct Waiting
+    {
+        InstanceId from;
+        std::uint64_t request = 0;
+        consensus::Term term = 0;
+    };
+
+    struct Group
+    {
+        consensus::Replica replica;
+        programs::ProgramLedger ledger;
+        std::map<consensus::Index, Waiting> waiting;
+        consensus::Index applied = 0;
+        consensus::Index snapshotAt = 0;
+        std::map<programs::PendingRelease, TimePoint> releasesSent;
+    };
+
+    struct Follower
+    {
+        control::Revision revision = 0;
+        control::Revision sentRevision = 0;
+        TimePoint lastSeen{};
+        int load = 0;
+    };
+
+    struct UpstreamState
+    {
+        std::uint64_t incarnation = 0;
+        TimePoint renewedAt{};
+        int requests = 0;
+    };
+
+    void handle(TimePoint now, const InstanceId &from, const wire::ConsensusMessage &message);
+    void handle(TimePoint now, const InstanceId &from, const wire::Request &request);
+    void handle(TimePoint now, const InstanceId &from, const wire::Follow &follow);
+    void handle(TimePoint, const InstanceId &, const wire::Reply &)
+    {
+    }
+    void handle(TimePoint, const InstanceId &, const wire::FeedMessage &)
+    {
+    }
+
+    void collect(TimePoint now, GroupId id, Group &group);
+    void install(GroupId id, Group &group, const consensus::Snapshot &snapshot);
+    void apply(GroupId id, Group &group, const consensus::Entry &entry);
+    [[nodiscard]] auto applyControl(const consensus::Entry &entry) -> std::string;
+    [[nodiscard]] auto applyProgram(Group &group, const consensus::Entry &entry) -> std::string;
+    void refuseWaiting(Group &group);
+    void reply(const InstanceId &to, wire::Reply reply);
+    [[nodiscard]] auto leaderHint(const Group &group) const -> InstanceId;
+    void answerRead(TimePoint now, const InstanceId &from, const wire::Request &request,
+                    Group &group);
+    [[nodiscard]] auto describeGroup(TimePoint now, GroupId id, const Group &group) const
+        -> std::string;
+
+    // Control leader's duties.
+    void feedFollower(const InstanceId &id, Follower &follower, std::int64_t requestedAt);
+    void pushToFollowers(TimePoint now);
+    void detectFailures(TimePoint now);
+    void giveOrders(TimePoint now);
+
+    // Shard leader's duties.
+    void maintainShard(TimePoint now, Group &group);
+    void releaseMemory(TimePoint now, Group &group);
+    void driveReplacement(TimePoint now, GroupId id, Group &group);
+    void proposeControl(TimePoint now, const control::ControlCommand &command);
+    static void proposeProgram(TimePoint now, Group &group,
+                               const programs::ProgramCommand &command);
+
+    void compactIfNeeded();
+
+    HostSettings m_settings;
+    std::map<GroupId, Group> m_groups;
+    control::ControlState m_control;
+    std::deque<control::FeedEntry> m_feed;
+    std::map<InstanceId, Follower> m_followers;
+    std::map<UpstreamId, UpstreamState> m_upstreams;
+    std::map<std::uint64_t, TimePoint> m_ordersSent;
+    TimePoint m_controlLeaderSince{};
+    bool m_feedChanged = false;
+    TimePoint m_nextMaintenance{};
+    HostOutput m_output;
+};
+
+} // namespace heathergate::daemon
--- /dev/null
+++ b/libs/daemon/include/heathergate/daemon/settings.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <heathergate/core/core.h>
+#include <heathergate/telemetry/logging.h>
+
+namespace heathergate::daemon {
+
+/// A host:port pair.
+struct Endpoint
+{
+    std::string host;
+    std::uint16_t port = 0;
+
+    [[nodiscard]] auto text() const -> std::string
+    {
+        return host + ":" + std::to_string(port);
+    }
+};
+
+/// An instance with a disk, known to all instances from their settings.
+struct DiskInstance
+{
+    InstanceId id;
+    Endpoint peer;
+};
+
+/// A route that needs no key.
+struct OpenRoute
+{
+    std::string path;
+    std::string service;
+};
+
+/// Settings of one instance. docs/reference/settings.md lists the keys.
+struct Settings
+{
+    // [instance]
+    InstanceId id;
+    FailureDomainId domain;
+    Endpoint caller;
+    Endpoint peer;
+    telemetry::LogLevel logLevel = telemetry::LogLevel::Info;
+
+    // [fleet]
+    std::string cluster = "heathergate";
+    /// The first proves this instance; all are accepted from others.
+    std::vector<std::string> fleetSecrets;
+    std::vector<DiskInstance> diskInstances;
+    std::uint32_t shards = 4;
+
+    // [storage]
+    std::string dataFolder;
+
+    // [keys]
+    std::string hashSecret;
+    /// Keyed hash of the first operator's key.
+    std::string operatorKeyHash;
+    std::string upstreamToken;
+
+    // [callers]
+    Duration directoryTtl = std::chrono::seconds(5);
+    Duration requestDeadline = std::chrono::seconds(120);
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxHeaderBytes = 32 * 1024;
+    unsigned maxConnections = 4096;
+    unsigned maxConnectionsPerAddress = 1024;
+    std::chrono::seconds idleTimeout{60};
+    std::size_t maxQueued = 10'000;
+    std::string certificateFile;
+    std::string privateKeyFile;
+    std::vector<OpenRoute> openRoutes;
+
+    // [upstreams]
+    Duration firstByteTimeout = std::chrono::seconds(30);
+    Duration progressTimeout = std::chrono::seconds(15);
+
+    // [programs]
+    int maxTurns = 300;
+    Duration programLifetime = std::chrono::hours(24);
+    Duration programIdle = std::chrono::hours(1);
+
+    /// Returns whether this instance holds replicas on its disk.
+    [[nodiscard]] auto hasDisk() const -> bool
+    {
+        return !dataFolder.empty();
+    }
+};
+
+/// Reads settings from TOML text. `file` stands in errors, which name the line, the key, the value
+/// and what is allowed. Unknown keys are errors.
+[[nodiscard]] auto parseSettings(std::string_view text, const std::string &file)
+    -> Result<Settings>;
+
+/// Reads settings from a file.
+[[nodiscard]] auto loadSettings(const std::string &file) -> Result<Settings>;
+
+/// Reads "host:port" with a numeric IPv4 address.
+[[nodiscard]] auto parseEndpoint(std::string_view text) -> Result<Endpoint>;
+
+} // namespace heathergate::daemon
--- /dev/null
+++ b/libs/daemon/src/call_attempt.cpp
@@ -0,0 +1,473 @@
+#include <heathergate/daemon/internal/call_runner.h>
+
+/// Attempts of a call at an upstream, and what follows when they fail.
+namespace heathergate::daemon::internal {
+
+namespace {
+
+constexpr int kMaxRetries = 3;
+constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
+constexpr int kStatusOk = 200;
+constexpr int kStatusTooMany = 429;
+constexpr int kStatusUnavailable = 503;
+
+auto eventOf(const nlohmann::json &data) -> std::string
+{
+    return "data: " + data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+           + "\n\n";
+}
+
+auto chunkOf(const CallRequest &request, const nlohmann::json &delta, const nlohmann::json &reason)
+    -> nlohmann::json
+{
+    return {{"id", request.callId.value},
+            {"object", "chat.completion.chunk"},
+            {"model", request.model},
+            {"choices",
+             nlohmann::json::array(
+                 {{{"index", 0}, {"delta", delta}, {"finish_reason", reason}}})}};
+}
+
+auto usageOf(const Answer &answer) -> nlohmann::json
+{
+    return {{"prompt_tokens", answer.promptTokens},
+            {"completion_tokens", answer.completionTokens},
+            {"cached_tokens", answer.cachedTokens}};
+}
+
+auto wholeAnswer(const CallRequest &request, const Answer &answer) -> http::Response
+{
+    const nlohmann::json message{{"role", "assistant"}, {"content", answer.text}};
+    return jsonResponse(
+        {{"id", request.callId.value},
+         {"object", "chat.completion"},
+         {"model", request.model},
+         {"choices",
+          nlohmann::json::array(
+              {{{"index", 0}, {"message", message}, {"finish_reason", answer.finishReason}}})},
+         {"usage", usageOf(answer)}});
+}
+
+} // namespace
+
+void CallRunner::send(TimePoint now, Call &call, const std::string &history)
+{
+    call.phase = CallPhase::Running;
+    call.answer = Answer{};
+    call.sentAt = now;
+    call.lastProgress = now;
+    auto outgoing = call.request.kind == programs::CallKind::Model ? modelRequest(call, history)
+                                                                   : serviceRequest(call);
+    outgoing.id = m_context.nextNumber();
+    outgoing.ownConnection = !call.request.idempotent || call.retries > 0;
+    if (!call.request.traceparent.empty())
+        outgoing.headers["traceparent"] = call.request.traceparent;
+    call.outgoing = outgoing.id;
+    m_byOutgoing[outgoing.id] = call.id;
+    m_context.effects.emplace_back(SendUpstream{std::move(outgoing)});
+    watchProgress(now, call.id, call.outgoing);
+}
+
+auto CallRunner::modelRequest(const Call &call, const std::string &history) const -> http::Outgoing
+{
+    const auto &request = call.request;
+    auto messages = nlohmann::json::parse(history, nullptr, false);
+    if (!messages.is_array())
+        messages = nlohmann::json::array();
+    for (const auto &message : request.newMessages)
+        messages.push_back(message);
+    nlohmann::json body{{"model", request.model},
+                        {"messages", std::move(messages)},
+                        {"max_tokens", request.maxTokens},
+                        {"stream", true},
+                        {"priority", request.priority},
+                        {"request_id", request.callId.value}};
+    if (request.program)
+        body["program"]
+            = request.program->customer.value + "/" + request.program->program.value;
+    http::Outgoing outgoing;
+    outgoing.url = "http://" + call.upstreamAddress + "/v1/chat/completions";
+    outgoing.headers["content-type"] = "application/json";
+    outgoing.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return outgoing;
+}
+
+auto CallRunner::serviceRequest(const Call &call) const -> http::Outgoing
+{
+    const auto &request = call.request;
+    http::Outgoing outgoing;
+    outgoing.method = request.method;
+    outgoing.url = "http://" + call.upstreamAddress + request.path;
+    if (!request.contentType.empty())
+        outgoing.headers["content-type"] = request.contentType;
+    outgoing.headers["x-customer"] = request.customer.value;
+    // Keys of different customers and programs must not meet at the service.
+    if (request.program)
+        outgoing.headers["idempotency-key"]
+            = toHex(hmacSha256(request.customer.value,
+                               request.program->program.value + "/" + request.callId.value))
+                  .substr(0, 32);
+    outgoing.body = request.body;
+    return outgoing;
+}
+
+void CallRunner::watchProgress(TimePoint now, std::uint64_t id, std::uint64_t outgoing)
+{
+    auto *call = find(id);
+    if (call == nullptr || call->outgoing != outgoing || call->phase != CallPhase::Running)
+        return;
+    const auto begun = call->answer.status != 0;
+    const auto timeout = begun ? m_context.settings.progressTimeout
+                               : m_context.settings.firstByteTimeout;
+    if (now >= call->lastProgress + timeout) {
+        m_context.metrics.count("heathergate_silent_upstreams_total",
+                                {{"upstream", call->upstream.value}});
+        abandonAttempt(now, *call);
+        retryOrGiveUp(now, *call, true);
+        return;
+    }
+    m_context.timers.add(call->lastProgress + timeout, [this, id, outgoing](TimePoint at) {
+        watchProgress(at, id, outgoing);
+    });
+}
+
+auto CallRunner::upstreamEvent(TimePoint now, const http::ClientEvent &event) -> bool
+{
+    const auto found = m_byOutgoing.find(event.id);
+    if (found == m_byOutgoing.end())
+        return false;
+    auto *call = find(found->second);
+    if (call == nullptr || call->outgoing != event.id) {
+        m_byOutgoing.erase(found);
+        return true;
+    }
+    call->lastProgress = now;
+    if (const auto *head = std::get_if<http::AnswerHead>(&event.what)) {
+        call->answer.status = head->status;
+        const auto type = head->headers.find("content-type");
+        call->answer.contentType = type == head->headers.end() ? "" : type->second;
+        const auto boot = head->headers.find("x-boot-id");
+        const auto record = m_context.view.state().upstreams().find(call->upstream);
+        const auto restarted = call->phase == CallPhase::Probing
+                               && boot != head->headers.end()
+                               && record != m_context.view.state().upstreams().end()
+                               && record->second.offer.bootId != boot->second;
+        if (restarted)
+            call->answer.status = 0;
+    } else if (const auto *data = std::get_if<http::AnswerData>(&event.what)) {
+        answerData(now, *call, data->bytes);
+    } else {
+        const auto end = std::get<http::AnswerEnd>(event.what);
+        m_byOutgoing.erase(found);
+        call->outgoing = 0;
+        if (call->phase == CallPhase::Probing)
+            probeEnded(now, *call, end.complete && call->answer.status != 0);
+        else
+            attemptEnded(now, *call, end);
+    }
+    return true;
+}
+
+void CallRunner::answerData(TimePoint now, Call &call, const std::string &bytes)
+{
+    auto &answer = call.answer;
+    if (call.phase != CallPhase::Running)
+        return;
+    const auto isModelStream
+        = call.request.kind == programs::CallKind::Model && answer.status == kStatusOk;
+    if (!isModelStream) {
+        if (answer.body.size() + bytes.size() <= kMaxAnswerBytes) {
+            answer.body += bytes;
+            return;
+        }
+        abandonAttempt(now, call);
+        giveUp(now, call, programs::CallResult::Unknown,
+               Error{Code::UpstreamFailed, "the answer is too large", Ran::Yes, {}});
+        return;
+    }
+    for (const auto &data : answer.events.feed(bytes))
+        modelChunk(call, data);
+    passOnText(call);
+}
+
+void CallRunner::modelChunk(Call &call, const std::string &data)
+{
+    auto &answer = call.answer;
+    if (data == "[DONE]") {
+        answer.done = true;
+        return;
+    }
+    const auto json = nlohmann::json::parse(data, nullptr, false);
+    if (!json.is_object())
+        return;
+    if (const auto choices = json.find("choices");
+        choices != json.end() && choices->is_array() && !choices->empty()) {
+        const auto &choice = choices->front();
+        const auto delta = choice.value("delta", nlohmann::json::object());
+        const auto content = delta.find("content");
+        if (content != delta.end() && content->is_string()) {
+            answer.text += content->get<std::string>();
+            ++answer.completionTokens;
+        }
+        const auto reason = choice.find("finish_reason");
+        if (reason != choice.end() && reason->is_string())
+            answer.finishReason = reason->get<std::string>();
+    }
+    if (const auto usage = json.find("usage"); usage != json.end() && usage->is_object()) {
+        answer.completionTokens = usage->value("completion_tokens", answer.completionTokens);
+        answer.promptTokens = usage->value("prompt_tokens", answer.promptTokens);
+        answer.cachedTokens = usage->value("cached_tokens", answer.cachedTokens);
+    }
+}
+
+void CallRunner::passOnText(Call &call)
+{
+    if (!call.request.stream || call.request.token == 0)
+        return;
+    const auto &text = call.answer.text;
+    auto &passed = call.passedText;
+    // A repeated attempt first produces again what the caller already has.
+    if (text.size() <= passed.size() || !text.starts_with(passed))
+        return;
+    if (!std::exchange(call.streamBegun, true)) {
+        m_context.metrics.observe("heathergate_first_token_seconds",
+                                  {{"customer", call.request.customer.value}},
+                                  call.lastProgress - call.arrivedAt);
+        m_context.effects.emplace_back(BeginStream{
+            call.request.token,
+            {kStatusOk,
+             {{"content-type", "text/event-stream"}, {"cache-control", "no-store"}},
+             {}}});
+    }
+    const auto added = text.substr(passed.size());
+    passed = text;
+    m_context.effects.emplace_back(StreamData{
+        call.request.token, eventOf(chunkOf(call.request, {{"content", added}}, nullptr))});
+}
+
+void CallRunner::attemptEnded(TimePoint now, Call &call, const http::AnswerEnd &end)
+{
+    const auto &answer = call.answer;
+    const auto isModel = call.request.kind == programs::CallKind::Model;
+    if (!end.complete) {
+        attemptFailed(now, call, end.sent, end.sent);
+        return;
+    }
+    if (isModel && answer.status == kStatusOk && !answer.done) {
+        attemptFailed(now, call, true, true);
+        return;
+    }
+    const auto otherText = isModel && answer.status == kStatusOk
+                           && !answer.text.starts_with(call.passedText);
+    if (otherText) {
+        releaseUpstream(now, call, true);
+        giveUp(now, call, programs::CallResult::Unknown,
+               Error{Code::UpstreamFailed, "a repeated attempt gave another answer", Ran::Yes, {}});
+        return;
+    }
+    const auto busy = answer.status == kStatusTooMany || answer.status == kStatusUnavailable;
+    if (isModel && busy) {
+        releaseUpstream(now, call, false);
+        retryOrGiveUp(now, call, true);
+        return;
+    }
+    if (isModel && answer.status != kStatusOk) {
+        releaseUpstream(now, call, answer.status < 500);
+        giveUp(now, call, programs::CallResult::NotRun,
+               Error{Code::UpstreamFailed,
+                     "the engine answered with status " + std::to_string(answer.status),
+                     Ran::Unknown, {}});
+        return;
+    }
+    complete(now, call);
+}
+
+void CallRunner::abandonAttempt(TimePoint now, Call &call)
+{
+    const auto outgoing = std::exchange(call.outgoing, 0);
+    if (outgoing == 0)
+        return;
+    m_byOutgoing.erase(outgoing);
+    m_context.effects.emplace_back(CancelUpstream{outgoing});
+    releaseUpstream(now, call, false);
+}
+
+void CallRunner::attemptFailed(TimePoint now, Call &call, bool sent, bool cut)
+{
+    releaseUpstream(now, call, false);
+    if (cut)
+        probe(now, call);
+    else
+        retryOrGiveUp(now, call, sent);
+}
+
+void CallRunner::probe(TimePoint, Call &call)
+{
+    call.phase = CallPhase::Probing;
+    call.answer = Answer{};
+    http::Outgoing outgoing;
+    outgoing.id = m_context.nextNumber();
+    outgoing.method = "GET";
+    outgoing.url = "http://" + call.upstreamAddress + "/health";
+    outgoing.ownConnection = true;
+    call.outgoing = outgoing.id;
+    m_byOutgoing[outgoing.id] = call.id;
+    m_context.effects.emplace_back(SendUpstream{std::move(outgoing)});
+}
+
+void CallRunner::probeEnded(TimePoint now, Call &call, bool alive)
+{
+    if (alive) {
+        retryOrGiveUp(now, call, true);
+        return;
+    }
+    constexpr Duration kReportDeadline = std::chrono::seconds(5);
+    m_context.applyControl(
+        now,
+        control::ReportCrash{call.request.fingerprint, call.upstream, call.upstreamIncarnation},
+        now + kReportDeadline,
+        [this, id = call.id](TimePoint at, const Result<control::ControlOutcome> &outcome) {
+            auto *reported = find(id);
+            if (reported == nullptr)
+                return;
+            if (outcome && outcome->number >= control::kPoisonCrashes)
+                giveUp(at, *reported, programs::CallResult::Unknown,
+                       Error{Code::PoisonRequest,
+                             "upstreams died each time while this request ran", Ran::Unknown, {}});
+            else
+                retryOrGiveUp(at, *reported, true);
+        });
+}
+
+void CallRunner::retryOrGiveUp(TimePoint now, Call &call, bool sent)
+{
+    const auto &request = call.request;
+    const auto safe = !sent || request.idempotent;
+    const auto worthwhile = request.token != 0 && call.retries < kMaxRetries
+                            && now < request.deadline && stillAllowed(now, call).has_value();
+    if (safe && worthwhile && m_retryBudget.withdraw()) {
+        ++call.retries;
+        call.excluded.insert(call.upstream);
+        call.phase = CallPhase::WaitingForProgram;
+        m_context.metrics.count("heathergate_retries_total",
+                                {{"upstream", call.upstream.value}});
+        const auto pause = routing::backoff(call.retries, m_context.random);
+        m_context.timers.add(now + pause, [this, id = call.id](TimePoint at) {
+            auto *waiting = find(id);
+            if (waiting != nullptr && waiting->phase == CallPhase::WaitingForProgram)
+                enqueue(at, *waiting);
+        });
+        return;
+    }
+    if (!sent && call.retries == 0)
+        giveUp(now, call, programs::CallResult::NotRun,
+               Error{Code::UpstreamFailed, "the upstream could not be reached", Ran::No,
+                     std::chrono::seconds(1)});
+    else if (!request.idempotent && sent)
+        giveUp(now, call, programs::CallResult::Unknown,
+               Error{Code::OutcomeUnknown, "the upstream failed after the request was sent",
+                     Ran::Unknown, {}});
+    else
+        giveUp(now, call,
+               sent || request.idempotent ? programs::CallResult::Unknown
+                                          : programs::CallResult::NotRun,
+               Error{Code::UpstreamFailed, "the upstreams that were tried failed",
+                     request.idempotent ? Ran::Unknown : Ran::No, {}});
+}
+
+void CallRunner::giveUp(TimePoint now, Call &call, programs::CallResult result, const Error &error)
+{
+    if (!call.request.program || call.attempt == 0) {
+        refuse(now, call, error);
+        return;
+    }
+    call.phase = CallPhase::Finishing;
+    programs::FinishCall finish;
+    finish.key = *call.request.program;
+    finish.call = call.request.callId;
+    finish.attempt = call.attempt;
+    finish.result = result;
+    constexpr Duration kRecordDeadline = std::chrono::seconds(10);
+    m_context.applyProgram(
+        now, m_context.shardOf(finish.key), finish, now + kRecordDeadline,
+        [this, id = call.id, error](TimePoint at, const Result<programs::ProgramOutcome> &) {
+            if (auto *ended = find(id))
+                refuse(at, *ended, error);
+        });
+}
+
+void CallRunner::deadlinePassed(TimePoint now, std::uint64_t id)
+{
+    auto *call = find(id);
+    if (call == nullptr)
+        return;
+    const Error notRun{Code::DeadlinePassed, "the deadline passed while the request waited",
+                       call->ranElsewhere, {}};
+    switch (call->phase) {
+    case CallPhase::Admitting:
+        refuse(now, *call, notRun);
+        return;
+    case CallPhase::WaitingForProgram:
+    case CallPhase::Queued:
+        if (call->retries > 0)
+            giveUp(now, *call,
+                   call->request.idempotent ? programs::CallResult::Unknown
+                                            : programs::CallResult::NotRun,
+                   Error{Code::DeadlinePassed, "the deadline passed between attempts",
+                         call->request.idempotent ? Ran::Unknown : Ran::No, {}});
+        else
+            refuse(now, *call, notRun);
+        return;
+    case CallPhase::Running:
+        abandonAttempt(now, *call);
+        giveUp(now, *call, programs::CallResult::Unknown,
+               Error{call->request.idempotent ? Code::DeadlinePassed : Code::OutcomeUnknown,
+                     "the deadline passed while an upstream worked", Ran::Unknown, {}});
+        return;
+    case CallPhase::Beginning:
+    case CallPhase::Probing:
+    case CallPhase::Finishing:
+        return;
+    }
+}
+
+void CallRunner::deliver(Call &call)
+{
+    const auto token = std::exchange(call.request.token, 0);
+    if (token == 0)
+        return;
+    m_byToken.erase(token);
+    const auto &answer = call.answer;
+    if (call.request.kind == programs::CallKind::Service) {
+        http::Response response{answer.status, {}, answer.body};
+        if (!answer.contentType.empty())
+            response.headers["content-type"] = answer.contentType;
+        m_context.respond(token, std::move(response));
+        return;
+    }
+    if (!call.request.stream) {
+        m_context.respond(token, wholeAnswer(call.request, answer));
+        return;
+    }
+    if (!call.streamBegun)
+        m_context.effects.emplace_back(
+            BeginStream{token, {kStatusOk, {{"content-type", "text/event-stream"}}, {}}});
+    auto last = chunkOf(call.request, nlohmann::json::object(), answer.finishReason);
+    last["usage"] = usageOf(answer);
+    m_context.effects.emplace_back(StreamData{token, eventOf(last) + "data: [DONE]\n\n"});
+    m_context.effects.emplace_back(EndStream{token, true});
+}
+
+void CallRunner::deliverRecorded(Call &call, const programs::ProgramOutcome &outcome)
+{
+    call.answer = Answer{};
+    call.answer.status = outcome.status;
+    call.answer.contentType = outcome.contentType;
+    call.answer.body = outcome.answer;
+    call.answer.text = outcome.answer;
+    call.answer.finishReason = "stop";
+    passOnText(call);
+    deliver(call);
+}
+
+} // namespace heathergate::daemon::internal
--- /dev/null
+++ b/libs/daemon/src/call_queue.cpp
@@ -0,0 +1,252 @@
+#include <heathergate/daemon/internal/call_runner.h>
+
+/// Queue, choice of upstream and recorded intent of a call.
+namespace heathergate::daemon::internal {
+
+namespace {
+
+constexpr Duration kNoUpstreamWait = std::chrono::seconds(2);
+constexpr Duration kBeginDeadline = std::chrono::seconds(10);
+constexpr std::int64_t kBytesPerToken = 4;
+constexpr std::int64_t kDefaultCacheTokens = 100'000;
+
+auto targetOf(const control::UpstreamRecord &record) -> routing::Target
+{
+    routing::Target target;
+    target.id = record.offer.id;
+    target.incarnation = record.incarnation;
+    target.domain = record.offer.domain;
+    target.slots = record.offer.slots;
+    target.draining = record.draining;
+    target.cacheTokens
+        = record.offer.contextTokens > 0 ? record.offer.contextTokens : kDefaultCacheTokens;
+    for (const auto &model : record.offer.models)
+        target.lanes.push_back("model:" + model);
+    for (const auto &service : record.offer.services)
+        target.lanes.push_back("service:" + service);
+    return target;
+}
+
+/// Returns the prefixes of `known` followed by those that `messages` add.
+auto extendPrompt(routing::PromptPrefixes known, const nlohmann::json &messages)
+    -> routing::PromptPrefixes
+{
+    std::uint64_t hash = known.prefixes.empty() ? 0 : known.prefixes.back().hash;
+    std::int64_t tokens = known.totalTokens();
+    for (const auto &message : messages) {
+        const auto text = message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        hash = hash64(text, hash);
+        tokens += 1 + static_cast<std::int64_t>(text.size()) / kBytesPerToken;
+        known.prefixes.push_back({hash, tokens});
+    }
+    return known;
+}
+
+} // namespace
+
+void CallRunner::viewChanged(TimePoint now)
+{
+    std::vector<routing::Target> targets;
+    for (const auto &[id, record] : m_context.view.state().upstreams())
+        targets.push_back(targetOf(record));
+    m_router.setTargets(targets);
+
+    std::vector<std::uint64_t> ids;
+    for (const auto &[id, call] : m_calls)
+        ids.push_back(id);
+    for (const auto id : ids) {
+        auto *call = find(id);
+        if (call == nullptr)
+            continue;
+        const auto allowed = stillAllowed(now, *call);
+        if (!allowed)
+            detachCaller(*call, Error{allowed.error().code, allowed.error().detail,
+                                      call->attempt == 0 ? Ran::No : Ran::Unknown, {}});
+        if (!allowed && call->attempt == 0 && call->phase != CallPhase::Beginning)
+            remove(now, id);
+    }
+    std::vector<std::string> lanes;
+    for (const auto &[lane, queue] : m_lanes)
+        lanes.push_back(lane);
+    for (const auto &lane : lanes)
+        pumpLane(now, lane);
+}
+
+void CallRunner::loadsReported(TimePoint now, const std::vector<wire::UpstreamLoad> &loads)
+{
+    for (const auto &load : loads) {
+        const auto *target = m_router.target(load.id);
+        if (target != nullptr && target->incarnation == load.incarnation)
+            m_router.reportLoad(now, load.id, load.requests);
+    }
+    std::vector<std::string> lanes;
+    for (const auto &[lane, queue] : m_lanes) {
+        if (queue.size() > 0)
+            lanes.push_back(lane);
+    }
+    for (const auto &lane : lanes)
+        pumpLane(now, lane);
+}
+
+void CallRunner::enqueue(TimePoint now, Call &call)
+{
+    call.phase = CallPhase::Queued;
+    const auto &request = call.request;
+    auto &lane
+        = m_lanes.try_emplace(request.lane, m_context.settings.maxQueued).first->second;
+    routing::WorkItem item;
+    item.request = call.id;
+    item.customer = request.customer;
+    item.priority = request.priority;
+    item.weight = request.weight;
+    item.arrivedAt = call.arrivedAt;
+    item.deadline = request.deadline;
+    if (!m_router.serves(request.lane))
+        item.deadline = std::min(item.deadline, now + kNoUpstreamWait);
+    item.cost = 1.0 + static_cast<double>(request.maxTokens);
+    if (request.program)
+        item.attained = memoryOf(*request.program).attained;
+    if (!lane.push(item)) {
+        giveUp(now, call, programs::CallResult::NotRun,
+               Error{Code::QueueFull, "too many requests wait for " + request.lane, Ran::No,
+                     std::chrono::seconds(1)});
+        return;
+    }
+    pumpLane(now, std::string(request.lane));
+}
+
+void CallRunner::pumpLane(TimePoint now, const std::string &lane)
+{
+    const auto found = m_lanes.find(lane);
+    if (found == m_lanes.end())
+        return;
+    auto &queue = found->second;
+    while (const auto item = queue.pop(now)) {
+        auto *call = find(item->request);
+        if (call == nullptr || call->phase != CallPhase::Queued)
+            continue;
+        const auto upstream = m_router.choose(now, queryFor(*call), m_context.random);
+        if (!upstream) {
+            queue.putBack(*item);
+            return;
+        }
+        assign(now, *call, *upstream);
+    }
+}
+
+auto CallRunner::queryFor(const Call &call) -> routing::RouteQuery
+{
+    routing::RouteQuery query;
+    query.lane = call.request.lane;
+    query.excluded = call.excluded;
+    if (!call.request.program || call.request.kind != programs::CallKind::Model)
+        return query;
+    const auto &memory = memoryOf(*call.request.program);
+    query.prompt = extendPrompt(memory.prompt, call.request.newMessages);
+    query.holders = memory.holders;
+    query.affinity = hash64(call.request.customer.value + "/" + call.request.program->program.value);
+    return query;
+}
+
+void CallRunner::assign(TimePoint now, Call &call, const UpstreamId &upstream)
+{
+    const auto &record = m_context.view.state().upstreams().at(upstream);
+    call.upstream = upstream;
+    call.upstreamIncarnation = record.incarnation;
+    call.upstreamAddress = record.offer.address;
+    call.prompt = queryFor(call).prompt;
+    m_router.dispatched(upstream, call.prompt);
+    m_context.metrics.observe("heathergate_queue_seconds",
+                              {{"class", std::to_string(call.request.priority)}},
+                              now - call.arrivedAt);
+    if (call.request.program) {
+        begin(now, call);
+        return;
+    }
+    ++call.attempt;
+    send(now, call, "[]");
+}
+
+void CallRunner::releaseUpstream(TimePoint now, Call &call, bool success)
+{
+    m_router.finished(now, call.upstream, call.upstreamIncarnation, success);
+    m_context.timers.add(now, [this, lane = call.request.lane](TimePoint at) {
+        pumpLane(at, lane);
+    });
+}
+
+void CallRunner::begin(TimePoint now, Call &call)
+{
+    call.phase = CallPhase::Beginning;
+    const auto &request = call.request;
+    programs::BeginCall begin;
+    begin.key = *request.program;
+    begin.call = request.callId;
+    begin.kind = request.kind;
+    begin.idempotent = request.idempotent;
+    begin.turn = request.turn;
+    begin.digest = request.digest;
+    begin.reserve = request.maxTokens;
+    begin.retryOf = call.attempt;
+    begin.standalone = request.standalone;
+    begin.placement = {m_context.settings.id, m_context.incarnation, call.id, call.upstream,
+                       call.upstreamIncarnation};
+    m_context.applyProgram(
+        now, m_context.shardOf(begin.key), begin,
+        std::min(request.deadline, now + kBeginDeadline),
+        [this, id = call.id](TimePoint at, const Result<programs::ProgramOutcome> &outcome) {
+            begun(at, id, outcome);
+        });
+}
+
+void CallRunner::begun(TimePoint now, std::uint64_t id,
+                       const Result<programs::ProgramOutcome> &outcome)
+{
+    auto *call = find(id);
+    if (call == nullptr || call->phase != CallPhase::Beginning)
+        return;
+    if (!outcome) {
+        releaseUpstream(now, *call, true);
+        beginRefused(now, *call, outcome.error());
+        return;
+    }
+    if (outcome->attempt == 0) {
+        releaseUpstream(now, *call, true);
+        deliverRecorded(*call, *outcome);
+        noteOutcome(now, *call, "replayed");
+        remove(now, id);
+        return;
+    }
+    call->attempt = outcome->attempt;
+    const auto allowed = stillAllowed(now, *call);
+    if (!allowed || now >= call->request.deadline) {
+        releaseUpstream(now, *call, true);
+        giveUp(now, *call, programs::CallResult::NotRun,
+               allowed ? Error{Code::DeadlinePassed, "the deadline has passed", Ran::No, {}}
+                       : allowed.error());
+        return;
+    }
+    send(now, *call, outcome->history);
+}
+
+void CallRunner::beginRefused(TimePoint now, Call &call, const Error &error)
+{
+    const auto again = now + std::max(error.retryAfter, Duration(1000));
+    if (error.code == Code::CallInProgress && again < call.request.deadline) {
+        call.phase = CallPhase::WaitingForProgram;
+        call.ranElsewhere = error.ran;
+        m_context.timers.add(again, [this, id = call.id](TimePoint at) {
+            auto *waiting = find(id);
+            if (waiting != nullptr && waiting->phase == CallPhase::WaitingForProgram)
+                enqueue(at, *waiting);
+        });
+        return;
+    }
+    auto told = error;
+    // An earlier attempt of this call may have reached an upstream.
+    if (call.retries > 0 && told.ran == Ran::No)
+        told.ran = Ran::Unknown;
+    refuse(now, call, told);
+}
+
+} // namespace heathergate::daemon::internal
--- /dev/null
+++ b/libs/daemon/src/call_runner.cpp
@@ -0,0 +1,354 @@
+#include <heathergate/daemon/internal/call_runner.h>
+
+/// Life of a call, its admission and its end. Queue, attempts and failures are in files of their
+/// own.
+namespace heathergate::daemon::internal {
+
+namespace {
+
+constexpr Duration kAllowanceDeadline = std::chrono::milliseconds(900);
+constexpr Duration kAllowanceRecheck = std::chrono::milliseconds(5);
+/// Allowance that another instance holds is back within its time to live.
+constexpr Duration kHeldElsewhereWait = std::chrono::milliseconds(1200);
+constexpr std::size_t kMostMemories = 50'000;
+
+} // namespace
+
+CallRunner::CallRunner(EntryContext &context)
+    : m_context(context)
+    , m_allowance(context.settings.id, 0)
+    , m_router(context.settings.domain)
+{
+}
+
+void CallRunner::start(TimePoint now, CallRequest request)
+{
+    if (m_context.view.state().isPoison(request.fingerprint)) {
+        m_context.refuse(request.token,
+                         Error{Code::PoisonRequest,
+                               "upstreams died each time while this request ran", Ran::No, {}});
+        return;
+    }
+    const auto id = m_context.nextNumber();
+    auto &call = m_calls[id];
+    call.id = id;
+    call.arrivedAt = now;
+    call.request = std::move(request);
+    m_byToken[call.request.token] = id;
+    m_context.timers.add(call.request.deadline,
+                         [this, id](TimePoint at) { deadlinePassed(at, id); });
+    m_admitting[call.request.customer].push_back(id);
+    pumpAdmission(now, CustomerId(call.request.customer));
+}
+
+void CallRunner::callerGone(TimePoint now, http::Token token)
+{
+    const auto found = m_byToken.find(token);
+    if (found == m_byToken.end())
+        return;
+    auto *call = find(found->second);
+    m_byToken.erase(found);
+    if (call == nullptr)
+        return;
+    call->request.token = 0;
+    const auto waiting = call->phase == CallPhase::Admitting
+                         || call->phase == CallPhase::WaitingForProgram
+                         || call->phase == CallPhase::Queued;
+    if (waiting && call->attempt == 0) {
+        remove(now, call->id);
+    } else if (!call->request.program && call->phase == CallPhase::Running) {
+        abandonAttempt(now, *call);
+        remove(now, call->id);
+    }
+}
+
+void CallRunner::tick(TimePoint now)
+{
+    requestAllowance(now);
+    std::vector<std::uint64_t> late;
+    for (auto &[lane, queue] : m_lanes) {
+        for (const auto &item : queue.takeExpired(now))
+            late.push_back(item.request);
+    }
+    for (const auto id : late) {
+        if (auto *call = find(id)) {
+            const auto served = m_router.serves(call->request.lane);
+            giveUp(now, *call, programs::CallResult::NotRun,
+                   Error{served ? Code::DeadlinePassed : Code::NoUpstream,
+                         "no upstream for " + call->request.lane + " was free in time", Ran::No,
+                         std::chrono::seconds(1)});
+        }
+    }
+}
+
+auto CallRunner::nextDeadline() const -> TimePoint
+{
+    auto next = TimePoint::max();
+    for (const auto &[lane, queue] : m_lanes)
+        next = std::min(next, queue.nextDeadline());
+    return std::min(next, m_allowance.nextReport());
+}
+
+void CallRunner::pumpAdmission(TimePoint now, const CustomerId &customer)
+{
+    const auto *row = m_context.view.state().row(customer);
+    auto &queue = m_admitting[customer];
+    while (!queue.empty()) {
+        auto *call = find(queue.front());
+        if (call == nullptr || call->phase != CallPhase::Admitting) {
+            queue.pop_front();
+            continue;
+        }
+        if (row == nullptr) {
+            refuse(now, *call, Error{Code::UnknownCustomer, "the customer has no row", Ran::No, {}});
+            continue;
+        }
+        if (!m_allowance.tryAdmit(now, customer))
+            break;
+        queue.pop_front();
+        admitted(now, *call);
+    }
+    if (row != nullptr)
+        m_allowance.setWaiting(customer, row->limit(), queue.size());
+}
+
+void CallRunner::requestAllowance(TimePoint now)
+{
+    if (m_allowanceIncarnation != m_context.incarnation) {
+        m_allowanceIncarnation = m_context.incarnation;
+        m_allowance = limits::AllowanceClient(m_context.settings.id, m_context.incarnation);
+        for (const auto &[customer, queue] : m_admitting) {
+            if (const auto *row = m_context.view.state().row(customer))
+                m_allowance.setWaiting(customer, row->limit(), queue.size());
+        }
+    }
+    if (now < m_allowance.nextReport() || m_context.incarnation == 0)
+        return;
+    for (GroupId shard = 1; shard <= m_context.settings.shards; ++shard) {
+        if (m_allowanceInFlight.contains(shard))
+            continue;
+        const auto request = m_allowance.makeRequest(now, [&](const CustomerId &customer) {
+            return m_context.shardOf(customer.value) == shard;
+        });
+        if (!request)
+            continue;
+        for (const auto &item : request->items) {
+            for (const auto id : m_admitting[item.customer]) {
+                if (auto *call = find(id))
+                    call->askedForAllowance = true;
+            }
+        }
+        m_allowanceInFlight.insert(shard);
+        m_context.applyProgram(
+            now, shard, *request, now + kAllowanceDeadline,
+            [this, shard](TimePoint at, const Result<programs::ProgramOutcome> &outcome) {
+                m_allowanceInFlight.erase(shard);
+                if (outcome && outcome->allowance)
+                    allowanceReceived(at, *outcome->allowance);
+                m_context.timers.add(at + kAllowanceRecheck,
+                                     [this](TimePoint later) { requestAllowance(later); });
+            });
+    }
+}
+
+void CallRunner::allowanceReceived(TimePoint now, const limits::AllowanceReply &reply)
+{
+    for (const auto &customer : m_allowance.receive(now, reply)) {
+        pumpAdmission(now, customer);
+        const auto *grant = m_allowance.lastGrant(customer);
+        const auto queue = m_admitting[customer];
+        for (const auto id : queue) {
+            auto *call = find(id);
+            if (call == nullptr || !call->askedForAllowance)
+                continue;
+            const auto mayComeBack
+                = grant->heldElsewhere > 0 && now - call->arrivedAt < kHeldElsewhereWait;
+            if (mayComeBack)
+                continue;
+            refuse(now, *call,
+                   Error{Code::RateExceeded, "the customer is over its rate", Ran::No,
+                         std::max(grant->nextToken, Duration(1))});
+        }
+        pumpAdmission(now, customer);
+    }
+}
+
+void CallRunner::admitted(TimePoint now, Call &call)
+{
+    m_context.metrics.observe("heathergate_admission_seconds",
+                              {{"customer", call.request.customer.value}}, now - call.arrivedAt);
+    m_retryBudget.deposit();
+    if (!call.request.program) {
+        enqueue(now, call);
+        return;
+    }
+    auto &gate = m_gates[*call.request.program];
+    if (gate.active != 0) {
+        call.phase = CallPhase::WaitingForProgram;
+        gate.waiting.push_back(call.id);
+        return;
+    }
+    gate.active = call.id;
+    enqueue(now, call);
+}
+
+void CallRunner::complete(TimePoint now, Call &call)
+{
+    releaseUpstream(now, call, call.answer.status < 500);
+    if (m_context.view.state().isSuspect(call.request.fingerprint))
+        m_context.applyControl(now, control::ClearSuspect{call.request.fingerprint},
+                               now + std::chrono::seconds(5),
+                               [](TimePoint, const Result<control::ControlOutcome> &) {});
+    if (!call.request.program) {
+        deliver(call);
+        noteOutcome(now, call, "completed");
+        remove(now, call.id);
+        return;
+    }
+    call.phase = CallPhase::Finishing;
+    programs::FinishCall finish;
+    finish.key = *call.request.program;
+    finish.call = call.request.callId;
+    finish.attempt = call.attempt;
+    finish.status = call.answer.status;
+    finish.contentType = call.answer.contentType;
+    finish.answer = call.request.kind == programs::CallKind::Model ? call.answer.text
+                                                                   : call.answer.body;
+    finish.used = call.answer.completionTokens;
+    if (call.request.kind == programs::CallKind::Model) {
+        auto messages = call.request.newMessages;
+        messages.push_back({{"role", "assistant"}, {"content", call.answer.text}});
+        finish.messages
+            = messages.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        auto &memory = memoryOf(*call.request.program);
+        memory.attained += static_cast<double>(call.answer.completionTokens);
+        memory.prompt = call.prompt;
+        std::erase(memory.holders, call.upstream);
+        memory.holders.insert(memory.holders.begin(), call.upstream);
+    }
+    // The answer counts only once it is recorded, so this goes on across changes of leader.
+    constexpr Duration kRecordDeadline = std::chrono::seconds(30);
+    m_context.applyProgram(
+        now, m_context.shardOf(finish.key), finish, now + kRecordDeadline,
+        [this, id = call.id](TimePoint at, const Result<programs::ProgramOutcome> &outcome) {
+            recorded(at, id, outcome);
+        });
+}
+
+void CallRunner::recorded(TimePoint now, std::uint64_t id,
+                          const Result<programs::ProgramOutcome> &outcome)
+{
+    auto *call = find(id);
+    if (call == nullptr)
+        return;
+    if (!outcome) {
+        refuse(now, *call,
+               Error{Code::OutcomeUnknown, "the answer could not be recorded: "
+                                               + outcome.error().detail,
+                     Ran::Yes, {}});
+        return;
+    }
+    deliver(*call);
+    noteOutcome(now, *call, "completed");
+    remove(now, id);
+}
+
+void CallRunner::refuse(TimePoint now, Call &call, const Error &error)
+{
+    detachCaller(call, error);
+    noteOutcome(now, call, "refused");
+    remove(now, call.id);
+}
+
+void CallRunner::detachCaller(Call &call, const Error &error)
+{
+    const auto token = std::exchange(call.request.token, 0);
+    if (token == 0)
+        return;
+    m_byToken.erase(token);
+    if (call.streamBegun)
+        m_context.effects.emplace_back(EndStream{token, false});
+    else
+        m_context.refuse(token, error);
+}
+
+void CallRunner::remove(TimePoint now, std::uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const auto request = found->second.request;
+    m_byToken.erase(request.token);
+    if (found->second.phase == CallPhase::Queued) {
+        const auto lane = m_lanes.find(request.lane);
+        if (lane != m_lanes.end())
+            lane->second.remove(id);
+    }
+    const auto wasAdmitting = found->second.phase == CallPhase::Admitting;
+    m_calls.erase(found);
+    if (wasAdmitting) {
+        std::erase(m_admitting[request.customer], id);
+        if (const auto *row = m_context.view.state().row(request.customer))
+            m_allowance.setWaiting(request.customer, row->limit(),
+                                   m_admitting[request.customer].size());
+    }
+    if (!request.program)
+        return;
+    const auto gate = m_gates.find(*request.program);
+    if (gate == m_gates.end())
+        return;
+    std::erase(gate->second.waiting, id);
+    if (gate->second.active != id)
+        return;
+    if (gate->second.waiting.empty()) {
+        m_gates.erase(gate);
+        return;
+    }
+    gate->second.active = gate->second.waiting.front();
+    gate->second.waiting.pop_front();
+    if (auto *next = find(gate->second.active))
+        enqueue(now, *next);
+}
+
+void CallRunner::noteOutcome(TimePoint now, const Call &call, const std::string &outcome)
+{
+    const telemetry::Labels labels{{"customer", call.request.customer.value},
+                                   {"class", std::to_string(call.request.priority)}};
+    m_context.metrics.observe("heathergate_request_seconds", labels, now - call.arrivedAt);
+    auto counted = labels;
+    counted["outcome"] = outcome;
+    m_context.metrics.count("heathergate_requests_total", counted);
+    if (call.answer.promptTokens > 0) {
+        m_context.metrics.count("heathergate_prompt_tokens_total", labels,
+                                static_cast<double>(call.answer.promptTokens));
+        m_context.metrics.count("heathergate_cached_tokens_total", labels,
+                                static_cast<double>(call.answer.cachedTokens));
+    }
+}
+
+auto CallRunner::find(std::uint64_t id) -> Call *
+{
+    const auto found = m_calls.find(id);
+    return found == m_calls.end() ? nullptr : &found->second;
+}
+
+auto CallRunner::memoryOf(const programs::ProgramKey &key) -> ProgramMemory &
+{
+    // It only guides routing, so losing it costs no more than some cached prompt.
+    if (m_memory.size() > kMostMemories)
+        m_memory.clear();
+    return m_memory[key];
+}
+
+auto CallRunner::stillAllowed(TimePoint now, const Call &call) const -> Result<void>
+{
+    if (!m_context.view.isFresh(now))
+        return fail(Code::StaleConfiguration, "the instance cannot confirm its configuration",
+                    Ran::No, std::chrono::seconds(1));
+    const auto &keyHash = call.request.keyHash;
+    if (!keyHash.empty() && m_context.view.state().key(keyHash) == nullptr)
+        return fail(Code::UnknownKey, "the key has been withdrawn");
+    return {};
+}
+
+} // namespace heathergate::daemon::internal
--- /dev/null
+++ b/libs/daemon/src/entry_node.cpp
@@ -0,0 +1,252 @@
+#include <heathergate/daemon/entry_node.h>
+
+#include <heathergate/daemon/internal/caller_api.h>
+#include <heathergate/daemon/internal/operator_api.h>
+#include <heathergate/daemon/internal/upstream_api.h>
+
+namespace heathergate::daemon {
+
+namespace {
+
+constexpr Duration kFollowInterval = std::chrono::milliseconds(500);
+constexpr Duration kFeedTimeout = std::chrono::milliseconds(1200);
+constexpr Duration kControlDeadline = std::chrono::seconds(5);
+
+auto hostIds(const Settings &settings) -> std::vector<InstanceId>
+{
+    std::vector<InstanceId> ids;
+    for (const auto &disk : settings.diskInstances)
+        ids.push_back(disk.id);
+    if (ids.empty())
+        ids.push_back(settings.id);
+    return ids;
+}
+
+} // namespace
+
+EntryNode::EntryNode(const Settings &settings, std::uint64_t bootId, Random random)
+    : m_settings(settings)
+{
+    m_context = std::make_unique<internal::EntryContext>(settings, hostIds(settings), bootId,
+                                                         random);
+    m_runner = std::make_unique<internal::CallRunner>(*m_context);
+    m_callerApi = std::make_unique<internal::CallerApi>(*m_context, *m_runner);
+    m_operatorApi = std::make_unique<internal::OperatorApi>(*m_context);
+    m_upstreamApi = std::make_unique<internal::UpstreamApi>(*m_context, *m_runner);
+}
+
+EntryNode::~EntryNode() = default;
+
+void EntryNode::httpRequest(TimePoint now, http::Token token, const http::Request &request)
+{
+    if (request.path == "/health" || request.path == "/ready")
+        return health(now, token, request.path == "/ready");
+    if (request.path == "/metrics" && request.method == "GET") {
+        m_context->metrics.set("heathergate_calls_active", {},
+                               static_cast<double>(m_runner->active()));
+        m_context->metrics.set("heathergate_revision", {}, static_cast<double>(revision()));
+        return m_context->respond(token, {200,
+                                          {{"content-type", "text/plain; version=0.0.4"}},
+                                          m_context->metrics.render()});
+    }
+    const auto handled = m_callerApi->handle(now, token, request)
+                         || m_operatorApi->handle(now, token, request)
+                         || m_upstreamApi->handle(now, token, request);
+    if (!handled)
+        m_context->refuse(token, Error{Code::UnknownRoute, "no route for " + request.method + " "
+                                                               + request.path});
+}
+
+void EntryNode::httpClosed(TimePoint now, http::Token token)
+{
+    m_runner->callerGone(now, token);
+}
+
+void EntryNode::upstreamEvent(TimePoint now, const http::ClientEvent &event)
+{
+    m_runner->upstreamEvent(now, event);
+}
+
+void EntryNode::peerMessage(TimePoint now, const InstanceId &from,
+                            const wire::PeerMessage &message)
+{
+    if (const auto *feed = std::get_if<wire::FeedMessage>(&message)) {
+        feedReceived(now, from, *feed);
+        return;
+    }
+    const auto *reply = std::get_if<wire::Reply>(&message);
+    if (reply == nullptr)
+        return;
+    if (reply->id != 0) {
+        m_context->groups.receive(now, from, *reply);
+        return;
+    }
+    // The answer to a `Follow` that went to the wrong replica.
+    if (m_context->groups.leaderOf(kControlGroup) != from)
+        return;
+    if (!reply->leader.empty() && reply->leader != from)
+        m_context->groups.setLeader(kControlGroup, reply->leader);
+    else
+        m_context->groups.suspectLeader(kControlGroup);
+    constexpr Duration kRedirectPause = std::chrono::milliseconds(50);
+    m_nextFollow = std::min(m_nextFollow, now + kRedirectPause);
+}
+
+void EntryNode::tick(TimePoint now)
+{
+    m_context->timers.run(now);
+    m_context->groups.tick(now);
+    if (now >= m_nextFollow)
+        follow(now);
+    checkFreshness(now);
+    m_runner->tick(now);
+}
+
+void EntryNode::drain(TimePoint now)
+{
+    if (std::exchange(m_context->draining, true))
+        return;
+    // Callers keep an address for the directory's time to live, and instances may show it for
+    // one feed interval more.
+    m_drainedAt = now + m_settings.directoryTtl + 2 * kFollowInterval;
+    m_context->applyControl(now, control::DrainInstance{m_settings.id, m_context->incarnation},
+                            now + kControlDeadline,
+                            [](TimePoint, const Result<control::ControlOutcome> &) {});
+}
+
+auto EntryNode::isDrained(TimePoint now) const -> bool
+{
+    return m_drainedAt && now >= *m_drainedAt && m_runner->active() == 0;
+}
+
+void EntryNode::leave(TimePoint now)
+{
+    m_context->applyControl(now,
+                            control::RemoveInstance{m_settings.id, m_context->incarnation, false},
+                            now + kControlDeadline,
+                            [](TimePoint, const Result<control::ControlOutcome> &) {});
+}
+
+auto EntryNode::takeEffects() -> std::vector<Effect>
+{
+    auto effects = std::exchange(m_context->effects, {});
+    for (auto &[to, message] : m_context->groups.takeMessages())
+        effects.emplace_back(SendPeer{to, std::move(message)});
+    return effects;
+}
+
+auto EntryNode::nextDeadline() const -> TimePoint
+{
+    auto next = std::min(m_nextFollow, m_context->timers.nextDeadline());
+    next = std::min(next, m_context->groups.nextDeadline());
+    next = std::min(next, m_runner->nextDeadline());
+    if (m_wasFresh)
+        next = std::min(next, m_context->view.freshUntil().value_or(next));
+    return next;
+}
+
+auto EntryNode::peerAddress(const InstanceId &id) const -> std::optional<Endpoint>
+{
+    for (const auto &disk : m_settings.diskInstances) {
+        if (disk.id == id)
+            return disk.peer;
+    }
+    const auto &instances = m_context->view.state().instances();
+    const auto found = instances.find(id);
+    if (found == instances.end())
+        return std::nullopt;
+    const auto endpoint = parseEndpoint(found->second.offer.peerAddress);
+    return endpoint ? std::optional<Endpoint>(*endpoint) : std::nullopt;
+}
+
+auto EntryNode::revision() const -> control::Revision
+{
+    return m_context->view.state().revision();
+}
+
+auto EntryNode::isReady(TimePoint now) const -> bool
+{
+    return m_context->incarnation != 0 && m_context->view.isFresh(now) && !m_context->draining;
+}
+
+void EntryNode::feedReceived(TimePoint now, const InstanceId &from,
+                             const wire::FeedMessage &message)
+{
+    m_context->groups.setLeader(kControlGroup, from);
+    m_lastFeed = now;
+    const auto changed = m_context->view.receive(message.feed);
+    for (const auto &load : message.instances)
+        m_context->instanceLoads[load.id] = load.load;
+    checkMembership(now);
+    if (changed)
+        m_runner->viewChanged(now);
+    if (!message.upstreams.empty())
+        m_runner->loadsReported(now, message.upstreams);
+    // The leader learns from the next report that the revision is in force here.
+    if (changed)
+        m_nextFollow = now;
+}
+
+void EntryNode::follow(TimePoint now)
+{
+    m_nextFollow = now + kFollowInterval;
+    if (now - m_lastFeed > kFeedTimeout)
+        m_context->groups.suspectLeader(kControlGroup);
+    wire::Follow message;
+    message.incarnation = m_context->incarnation;
+    message.requestedAt = now.time_since_epoch().count();
+    message.revision = revision();
+    message.load = static_cast<int>(m_runner->active());
+    message.upstreams = m_upstreamApi->takeRenewals();
+    m_context->effects.emplace_back(
+        SendPeer{m_context->groups.leaderOf(kControlGroup), std::move(message)});
+}
+
+void EntryNode::join(TimePoint now)
+{
+    if (std::exchange(m_joining, true))
+        return;
+    control::InstanceOffer offer;
+    offer.id = m_settings.id;
+    offer.bootId = m_context->bootId;
+    offer.callerAddress = m_settings.caller.text();
+    offer.peerAddress = m_settings.peer.port == 0 ? std::string() : m_settings.peer.text();
+    offer.domain = m_settings.domain;
+    m_context->applyControl(now, control::JoinInstance{offer}, now + kControlDeadline,
+                            [this](TimePoint, const Result<control::ControlOutcome> &) {
+                                m_joining = false;
+                            });
+}
+
+void EntryNode::checkMembership(TimePoint now)
+{
+    const auto &instances = m_context->view.state().instances();
+    const auto own = instances.find(m_settings.id);
+    const auto isMember = own != instances.end() && !own->second.failed
+                          && own->second.offer.bootId == m_context->bootId;
+    m_context->incarnation = isMember ? own->second.incarnation : 0;
+    if (!isMember && !m_context->draining && m_context->view.isFresh(now))
+        join(now);
+}
+
+void EntryNode::checkFreshness(TimePoint now)
+{
+    const auto fresh = m_context->view.isFresh(now);
+    if (m_wasFresh && !fresh)
+        m_runner->viewChanged(now);
+    m_wasFresh = fresh;
+}
+
+void EntryNode::health(TimePoint now, http::Token token, bool readiness)
+{
+    const auto ready = isReady(now);
+    const auto status = readiness && !ready ? 503 : 200;
+    m_context->respond(token, jsonResponse({{"instance", m_settings.id.value},
+                                            {"ready", ready},
+                                            {"draining", m_context->draining},
+                                            {"revision", revision()},
+                                            {"calls", m_runner->active()}},
+                                           status));
+}
+
+} // namespace heathergate::daemon
--- /dev/null
+++ b/libs/daemon/src/group_client.cpp
@@ -0,0 +1,118 @@
+#include <heathergate/daemon/group_client.h>
+
+namespace heathergate::daemon {
+
+namespace {
+
+constexpr Duration kReplyTimeout = std::chrono::milliseconds(600);
+constexpr Duration kNoLeaderPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+void GroupClient::call(TimePoint now, GroupId group, wire::RequestKind kind, std::string body,
+                       TimePoint deadline, Callback callback)
+{
+    const auto id = ++m_lastId;
+    auto &pending = m_pending[id];
+    pending.request = wire::Request{id, group, kind, std::move(body)};
+    pending.deadline = deadline;
+    pending.callback = std::move(callback);
+    send(now, pending);
+}
+
+void GroupClient::receive(TimePoint now, const InstanceId &from, const wire::Reply &reply)
+{
+    const auto found = m_pending.find(reply.id);
+    if (found == m_pending.end())
+        return;
+    auto &pending = found->second;
+    const auto group = pending.request.group;
+    if (reply.error && reply.error->code == Code::NotLeader) {
+        if (pending.sentTo != from)
+            return;
+        const auto hinted = !reply.leader.empty() && reply.leader != from;
+        if (hinted)
+            m_leaders[group] = reply.leader;
+        else if (m_leaders[group] == from)
+            suspectLeader(group);
+        pending.awaitsReply = false;
+        pending.retryAt = now + (hinted ? Duration(1000) : kNoLeaderPause);
+        return;
+    }
+    m_leaders[group] = from;
+    const auto callback = std::move(pending.callback);
+    m_pending.erase(found);
+    if (reply.error)
+        callback(now, tl::unexpected(*reply.error));
+    else
+        callback(now, reply.body);
+}
+
+void GroupClient::tick(TimePoint now)
+{
+    std::vector<std::uint64_t> due;
+    for (const auto &[id, pending] : m_pending) {
+        if (now >= std::min(pending.retryAt, pending.deadline))
+            due.push_back(id);
+    }
+    for (const auto id : due) {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end())
+            continue;
+        auto &pending = found->second;
+        if (now >= pending.deadline) {
+            const auto callback = std::move(pending.callback);
+            const auto group = pending.request.group;
+            m_pending.erase(found);
+            callback(now, fail(Code::NoQuorum,
+                               "group " + std::to_string(group) + " did not answer in time",
+                               Ran::No, std::chrono::seconds(1)));
+            continue;
+        }
+        if (pending.awaitsReply && m_leaders[pending.request.group] == pending.sentTo)
+            suspectLeader(pending.request.group);
+        send(now, pending);
+    }
+}
+
+auto GroupClient::leaderOf(GroupId group) -> InstanceId
+{
+    auto &leader = m_leaders[group];
+    if (leader.empty() && !m_hosts.empty())
+        leader = m_hosts[m_random.below(m_hosts.size())];
+    return leader;
+}
+
+void GroupClient::suspectLeader(GroupId group)
+{
+    if (m_hosts.empty())
+        return;
+    const auto current = std::find(m_hosts.begin(), m_hosts.end(), m_leaders[group]);
+    if (current == m_hosts.end() || std::next(current) == m_hosts.end())
+        m_leaders[group] = m_hosts.front();
+    else
+        m_leaders[group] = *std::next(current);
+}
+
+void GroupClient::setLeader(GroupId group, const InstanceId &leader)
+{
+    m_leaders[group] = leader;
+}
+
+auto GroupClient::nextDeadline() const -> TimePoint
+{
+    auto next = TimePoint::max();
+    for (const auto &[id, pending] : m_pending)
+        next = std::min(next, std::min(pending.retryAt, pending.deadline));
+    return next;
+}
+
+void GroupClient::send(TimePoint now, Pending &pending)
+{
+    pending.sentTo = leaderOf(pending.request.group);
+    pending.awaitsReply = true;
+    pending.retryAt = now + kReplyTimeout;
+    m_messages.emplace_back(pending.sentTo, pending.request);
+}
+
+} // namespace heathergate::daemon
--- /dev/null
+++ b/libs/daemon/src/log_writer.cpp
@@ -0,0 +1,103 @@
+#include <heathergate/daemon/log_writer.h>
+
+#include <heathergate/telemetry/logging.h>
+
+namespace heathergate::daemon {
+
+namespace {
+
+constexpr std::size_t kRingCapacity = 4096;
+constexpr std::size_t kMaxBatch = 512;
+constexpr Duration kIdleWait = std::chrono::milliseconds(200);
+constexpr std::chrono::milliseconds kFullDiskPause{200};
+constexpr std::chrono::microseconds kFullRingPause{100};
+
+const telemetry::Logger kLog("log");
+
+} // namespace
+
+LogWriter::LogWriter(log::PosixFiles &files, log::WriteAheadLog<log::PosixFiles> wal,
+                     SyncedHandler onSynced, FailureHandler onFailure)
+    : m_sink(files, std::move(wal))
+    , m_onSynced(std::move(onSynced))
+    , m_onFailure(std::move(onFailure))
+    , m_ring(kRingCapacity, [this] { m_notifier.notify(); })
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+LogWriter::~LogWriter()
+{
+    m_stopping = true;
+    m_notifier.notify();
+    m_thread.join();
+}
+
+void LogWriter::write(std::vector<StorageStep> steps)
+{
+    while (!m_ring.push(std::move(steps)))
+        std::this_thread::sleep_for(kFullRingPause);
+}
+
+void LogWriter::run()
+{
+    while (true) {
+        std::vector<StorageStep> steps;
+        for (std::size_t taken = 0; taken < kMaxBatch; ++taken) {
+            auto batch = m_ring.pop();
+            if (!batch)
+                break;
+            std::move(batch->begin(), batch->end(), std::back_inserter(steps));
+        }
+        if (steps.empty() && m_stopping)
+            return;
+        if (steps.empty()) {
+            m_notifier.wait(kIdleWait);
+            continue;
+        }
+        if (!store(steps))
+            return;
+    }
+}
+
+auto LogWriter::store(const std::vector<StorageStep> &steps) -> bool
+{
+    std::map<GroupId, std::uint64_t> numbers;
+    for (const auto &step : steps) {
+        if (!retryWhileFull([&] { return m_sink.take(step); }))
+            return false;
+        if (const auto *write = std::get_if<GroupWrite>(&step))
+            numbers[write->group] = write->write.number;
+    }
+    if (!retryWhileFull([&] { return m_sink.commit(); }))
+        return false;
+    std::vector<SyncedUpTo> synced;
+    for (const auto &[group, number] : numbers)
+        synced.push_back({group, number});
+    if (!synced.empty())
+        m_onSynced(std::move(synced));
+    return true;
+}
+
+auto LogWriter::retryWhileFull(const std::function<Result<void>()> &action) -> bool
+{
+    bool reported = false;
+    while (true) {
+        const auto status = action();
+        if (status)
+            return true;
+        if (status.error().code != Code::DiskFull) {
+            kLog.error("Writing failed for good: " + status.error().detail);
+            m_onFailure(status.error());
+            return false;
+        }
+        // Nothing is acknowledged meanwhile, so nothing is lost.
+        if (!std::exchange(reported, true))
+            kLog.error("The disk is full; waiting for space.");
+        if (m_stopping)
+            return false;
+        std::this_thread::sleep_for(kFullDiskPause);
+    }
+}
+
+} // namespace heathergate::daemon
--- /dev/null
+++ b/libs/daemon/src/peer_network.cpp
@@ -0,0 +1,424 @@
+#include <heathergate/daemon/peer_network.h>
+
+#include <heathergate/telemetry/logging.h>
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/INET_Addr.h>
+#include <ace/OS_NS_sys_socket.h>
+#include <ace/Reactor.h>
+#include <ace/SOCK_Acceptor.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+#include <atomic>
+#include <netinet/tcp.h>
+#include <thread>
+
+namespace heathergate::daemon {
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::size_t kRingCapacity = 16'384;
+constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr std::size_t kMaxOutputBytes = 128 * 1024 * 1024;
+constexpr std::size_t kMaxWaiting = 1024;
+constexpr std::size_t kNonceBytes = 16;
+constexpr std::chrono::milliseconds kPingInterval{1000};
+constexpr std::chrono::milliseconds kSilenceLimit{3500};
+constexpr std::chrono::milliseconds kHandshakeLimit{2000};
+constexpr std::chrono::milliseconds kRedialPause{100};
+constexpr int kPollMilliseconds = 100;
+
+const telemetry::Logger kLog("peers");
+
+class Connection;
+
+/// What a connection tells its network.
+class ConnectionOwner
+{
+public:
+    virtual ~ConnectionOwner() = default;
+    virtual void established(Connection &connection) = 0;
+    virtual void received(Connection &connection, const std::string &body) = 0;
+    virtual void closed(Connection &connection) = 0;
+};
+
+/// One TCP connection to a peer.
+class Connection final : public ACE_Event_Handler
+{
+public:
+    Connection(ACE_Reactor &reactor, ConnectionOwner &owner, const PeerIdentity &identity,
+               std::optional<InstanceId> dialled)
+        : ACE_Event_Handler(&reactor)
+        , m_owner(owner)
+        , m_dialled(dialled)
+        , m_session(identity, std::move(dialled), secureRandom(kNonceBytes))
+    {
+    }
+
+    ~Connection() override
+    {
+        m_stream.close();
+    }
+
+    [[nodiscard]] auto stream() -> ACE_SOCK_Stream &
+    {
+        return m_stream;
+    }
+
+    [[nodiscard]] auto get_handle() const -> ACE_HANDLE override
+    {
+        return m_stream.get_handle();
+    }
+
+    /// Starts to read and write; the socket may still be connecting.
+    auto open() -> bool
+    {
+        m_stream.enable(ACE_NONBLOCK);
+        int yes = 1;
+        m_stream.set_option(IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+        m_pending = m_session.takeOutput();
+        m_writing = true;
+        return reactor()->register_handler(this, READ_MASK | WRITE_MASK) == 0;
+    }
+
+    void send(std::string_view body)
+    {
+        m_session.send(body);
+        m_lastSent = SteadyClock::now();
+        flush();
+    }
+
+    auto handle_input(ACE_HANDLE) -> int override
+    {
+        std::string buffer(kReadBytes, '\0');
+        const auto count = m_stream.recv(buffer.data(), buffer.size());
+        if (count < 0 && (errno == EWOULDBLOCK || errno == EAGAIN || errno == EINTR))
+            return 0;
+        if (count <= 0) {
+            fail();
+            return 0;
+        }
+        m_lastReceived = SteadyClock::now();
+        const auto wasEstablished = m_session.isEstablished();
+        const auto bodies
+            = m_session.receive(std::string_view(buffer).substr(0, static_cast<std::size_t>(count)));
+        if (!bodies) {
+            kLog.warning("Closed a connection: " + bodies.error().detail + ".");
+            fail();
+            return 0;
+        }
+        if (!wasEstablished && m_session.isEstablished())
+            m_owner.established(*this);
+        for (const auto &body : *bodies) {
+            if (!m_closed && !body.empty())
+                m_owner.received(*this, body);
+        }
+        if (!m_closed)
+            flush();
+        return 0;
+    }
+
+    auto handle_output(ACE_HANDLE) -> int override
+    {
+        int problem = 0;
+        int size = sizeof(problem);
+        m_stream.get_option(SOL_SOCKET, SO_ERROR, &problem, &size);
+        if (problem != 0)
+            fail();
+        else
+            flush();
+        return 0;
+    }
+
+    auto handle_close(ACE_HANDLE, ACE_Reactor_Mask) -> int override
+    {
+        return 0;
+    }
+
+    /// Sends a sign of life if nothing was sent for a while, and closes a silent connection.
+    void checkSilence(SteadyClock::time_point now)
+    {
+        const auto limit = m_session.isEstablished()
+                               ? SteadyClock::duration(kSilenceLimit)
+                               : SteadyClock::duration(kHandshakeLimit);
+        if (now - m_lastReceived > limit) {
+            fail();
+            return;
+        }
+        if (m_session.isEstablished() && now - m_lastSent > kPingInterval)
+            send({});
+    }
+
+    void fail()
+    {
+        if (std::exchange(m_closed, true))
+            return;
+        reactor()->remove_handler(this, ALL_EVENTS_MASK | DONT_CALL);
+        m_owner.closed(*this);
+    }
+
+    [[nodiscard]] auto isClosed() const -> bool
+    {
+        return m_closed;
+    }
+
+    [[nodiscard]] auto isEstablished() const -> bool
+    {
+        return m_session.isEstablished() && !m_closed;
+    }
+
+    [[nodiscard]] auto peer() const -> const InstanceId &
+    {
+        return m_session.peer();
+    }
+
+    [[nodiscard]] auto dialled() const -> const std::optional<InstanceId> &
+    {
+        return m_dialled;
+    }
+
+private:
+    void flush()
+    {
+        m_pending += m_session.takeOutput();
+        while (!m_pending.empty()) {
+            const auto count = m_stream.send(m_pending.data(), m_pending.size());
+            if (count > 0) {
+                m_pending.erase(0, static_cast<std::size_t>(count));
+                continue;
+            }
+            if (errno == EINTR)
+                continue;
+            if (errno != EWOULDBLOCK && errno != EAGAIN && errno != ENOTCONN) {
+                fail();
+                return;
+            }
+            break;
+        }
+        if (m_pending.size() > kMaxOutputBytes) {
+            fail();
+            return;
+        }
+        watchWriting(!m_pending.empty());
+    }
+
+    void watchWriting(bool wanted)
+    {
+        if (wanted == std::exchange(m_writing, wanted))
+            return;
+        const auto operation = wanted ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK;
+        reactor()->mask_ops(this, WRITE_MASK, operation);
+    }
+
+    ConnectionOwner &m_owner;
+    std::optional<InstanceId> m_dialled;
+    PeerSession m_session;
+    ACE_SOCK_Stream m_stream;
+    std::string m_pending;
+    bool m_writing = false;
+    bool m_closed = false;
+    SteadyClock::time_point m_lastReceived = SteadyClock::now();
+    SteadyClock::time_point m_lastSent = SteadyClock::now();
+};
+
+class AcePeerNetwork final : public PeerNetwork, public ConnectionOwner, public ACE_Event_Handler
+{
+public:
+    AcePeerNetwork(PeerIdentity identity, MessageHandler onMessage)
+        : m_identity(std::move(identity))
+        , m_onMessage(std::move(onMessage))
+        , m_reactor(new ACE_Dev_Poll_Reactor, true)
+        , m_ring(kRingCapacity, [this] { wake(); })
+    {
+    }
+
+    ~AcePeerNetwork() override
+    {
+        m_stopping = true;
+        m_reactor.notify();
+        if (m_thread.joinable())
+            m_thread.join();
+        m_reactor.remove_handler(this, ACCEPT_MASK | DONT_CALL);
+        m_acceptor.close();
+    }
+
+    auto listen(const Endpoint &endpoint) -> Result<void>
+    {
+        if (endpoint.port != 0) {
+            const ACE_INET_Addr address(endpoint.port, endpoint.host.c_str());
+            if (m_acceptor.open(address, 1) != 0)
+                return fail(Code::BadSetting, "cannot listen for peers on " + endpoint.text());
+            m_acceptor.enable(ACE_NONBLOCK);
+            m_reactor.register_handler(this, ACCEPT_MASK);
+        }
+        m_thread = std::thread([this] { run(); });
+        return {};
+    }
+
+    void send(PeerOutgoing outgoing) override
+    {
+        // A message lost here is as good as lost on the way; the senders repeat what matters.
+        static_cast<void>(m_ring.push(std::move(outgoing)));
+    }
+
+private:
+    struct Dialling
+    {
+        std::vector<std::string> waiting;
+        SteadyClock::time_point notBefore{};
+    };
+
+    void wake()
+    {
+        if (!m_woken.exchange(true))
+            m_reactor.notify();
+    }
+
+    void run()
+    {
+        m_reactor.owner(ACE_OS::thr_self());
+        auto nextCheck = SteadyClock::now();
+        while (!m_stopping) {
+            ACE_Time_Value wait(0, kPollMilliseconds * 1000);
+            m_reactor.handle_events(&wait);
+            m_woken = false;
+            while (auto outgoing = m_ring.pop())
+                deliver(*outgoing);
+            const auto now = SteadyClock::now();
+            if (now >= nextCheck) {
+                nextCheck = now + std::chrono::milliseconds(kPollMilliseconds);
+                checkConnections(now);
+            }
+            std::erase_if(m_connections, [](const auto &item) { return item->isClosed(); });
+        }
+        for (const auto &connection : m_connections)
+            connection->fail();
+        m_connections.clear();
+    }
+
+    void checkConnections(SteadyClock::time_point now)
+    {
+        const auto count = m_connections.size();
+        for (std::size_t i = 0; i < count; ++i) {
+            if (!m_connections[i]->isClosed())
+                m_connections[i]->checkSilence(now);
+        }
+    }
+
+    void deliver(const PeerOutgoing &outgoing)
+    {
+        const auto body = wire::encodeMessage(outgoing.message);
+        const auto known = m_byPeer.find(outgoing.to);
+        if (known != m_byPeer.end() && known->second->isEstablished()) {
+            known->second->send(body);
+            return;
+        }
+        if (!outgoing.address)
+            return;
+        auto &dialling = m_dialling[outgoing.to];
+        if (dialling.waiting.size() < kMaxWaiting)
+            dialling.waiting.push_back(body);
+        dial(outgoing.to, *outgoing.address, dialling);
+    }
+
+    void dial(const InstanceId &to, const Endpoint &endpoint, Dialling &dialling)
+    {
+        const auto now = SteadyClock::now();
+        const auto underWay
+            = std::any_of(m_connections.begin(), m_connections.end(), [&](const auto &item) {
+                  return !item->isClosed() && item->dialled() == to;
+              });
+        if (underWay || now < dialling.notBefore)
+            return;
+        dialling.notBefore = now + kRedialPause;
+        auto connection = std::make_unique<Connection>(m_reactor, *this, m_identity, to);
+        ACE_SOCK_Connector connector;
+        const ACE_INET_Addr address(endpoint.port, endpoint.host.c_str());
+        const auto status
+            = connector.connect(connection->stream(), address, &ACE_Time_Value::zero);
+        if (status != 0 && errno != EWOULDBLOCK && errno != EINPROGRESS) {
+            dialling.waiting.clear();
+            return;
+        }
+        if (connection->open())
+            m_connections.push_back(std::move(connection));
+    }
+
+    auto handle_input(ACE_HANDLE) -> int override
+    {
+        auto connection
+            = std::make_unique<Connection>(m_reactor, *this, m_identity, std::nullopt);
+        if (m_acceptor.accept(connection->stream()) == 0 && connection->open())
+            m_connections.push_back(std::move(connection));
+        return 0;
+    }
+
+    [[nodiscard]] auto get_handle() const -> ACE_HANDLE override
+    {
+        return m_acceptor.get_handle();
+    }
+
+    void established(Connection &connection) override
+    {
+        m_byPeer[connection.peer()] = &connection;
+        kLog.info("Connected with " + connection.peer().value + ".");
+        const auto dialling = m_dialling.find(connection.peer());
+        if (dialling == m_dialling.end())
+            return;
+        const auto waiting = std::move(dialling->second.waiting);
+        m_dialling.erase(dialling);
+        for (const auto &body : waiting)
+            connection.send(body);
+    }
+
+    void received(Connection &connection, const std::string &body) override
+    {
+        auto message = wire::decodeMessage(body);
+        if (message)
+            m_onMessage(connection.peer(), std::move(*message));
+        else
+            kLog.warning("Dropped a message of " + connection.peer().value + ": "
+                         + message.error().detail + ".");
+    }
+
+    void closed(Connection &connection) override
+    {
+        const auto known = m_byPeer.find(connection.peer());
+        if (known != m_byPeer.end() && known->second == &connection) {
+            m_byPeer.erase(known);
+            kLog.info("Lost the connection with " + connection.peer().value + ".");
+        }
+        if (!connection.dialled())
+            return;
+        const auto dialling = m_dialling.find(*connection.dialled());
+        if (dialling != m_dialling.end())
+            dialling->second.waiting.clear();
+    }
+
+    PeerIdentity m_identity;
+    MessageHandler m_onMessage;
+    ACE_Reactor m_reactor;
+    ACE_SOCK_Acceptor m_acceptor;
+    Ring<PeerOutgoing> m_ring;
+    std::atomic<bool> m_woken = false;
+    std::atomic<bool> m_stopping = false;
+    std::vector<std::unique_ptr<Connection>> m_connections;
+    std::map<InstanceId, Connection *> m_byPeer;
+    std::map<InstanceId, Dialling> m_dialling;
+    std::thread m_thread;
+};
+
+} // namespace
+
+auto PeerNetwork::start(PeerIdentity identity, const Endpoint &listen, MessageHandler onMessage)
+    -> Result<std::unique_ptr<PeerNetwork>>
+{
+    auto network = std::make_unique<AcePeerNetwork>(std::move(identity), std::move(onMessage));
+    if (auto listening = network->listen(listen); !listening)
+        return tl::unexpected(listening.error());
+    return network;
+}
+
+} // namespace heathergate::daemon
--- /dev/null
+++ b/libs/daemon/src/replica_host_control.cpp
@@ -0,0 +1,150 @@
+#include <heathergate/daemon/replica_host.h>
+
+/// The duties of a host that leads the control group.
+namespace heathergate::daemon {
+
+namespace {
+
+constexpr Duration kFollowerTimeout = std::chrono::seconds(3);
+constexpr Duration kOrderRetry = std::chrono::seconds(2);
+constexpr std::size_t kFeedMostEntries = 2'000;
+
+} // namespace
+
+void ReplicaHost::handle(TimePoint now, const InstanceId &from, const wire::Follow &follow)
+{
+    auto &group = m_groups.at(kControlGroup);
+    if (!group.replica.canServeReads(now)) {
+        reply(from, {0, Error{Code::NotLeader, "this replica does not lead the control group",
+                              Ran::No, {}},
+                     leaderHint(group), {}});
+        return;
+    }
+    auto &follower = m_followers[from];
+    follower.revision = follow.revision;
+    follower.sentRevision = follow.revision;
+    follower.lastSeen = now;
+    follower.load = follow.load;
+    for (const auto &renewal : follow.upstreams)
+        m_upstreams[renewal.id] = UpstreamState{renewal.incarnation, now, renewal.requests};
+    feedFollower(from, follower, follow.requestedAt);
+}
+
+void ReplicaHost::feedFollower(const InstanceId &id, Follower &follower, std::int64_t requestedAt)
+{
+    wire::FeedMessage message;
+    message.feed.requestedAt = requestedAt;
+    message.feed.leaderRevision = m_control.revision();
+    const auto next = follower.sentRevision + 1;
+    const auto held = !m_feed.empty() && m_feed.front().revision <= next
+                      && m_control.revision() - follower.sentRevision <= kFeedMostEntries;
+    if (follower.sentRevision < m_control.revision() && !held) {
+        message.feed.state = encode(m_control);
+    } else if (follower.sentRevision < m_control.revision()) {
+        const auto skip = static_cast<std::ptrdiff_t>(next - m_feed.front().revision);
+        message.feed.entries.assign(m_feed.begin() + skip, m_feed.end());
+    }
+    follower.sentRevision = std::max(follower.sentRevision, m_control.revision());
+    if (requestedAt != 0) {
+        for (const auto &[upstream, state] : m_upstreams)
+            message.upstreams.push_back({upstream, state.incarnation, state.requests});
+        for (const auto &[instance, other] : m_followers)
+            message.instances.push_back({instance, other.load});
+    }
+    m_output.messages.emplace_back(id, std::move(message));
+}
+
+void ReplicaHost::pushToFollowers(TimePoint now)
+{
+    if (!m_groups.at(kControlGroup).replica.canServeReads(now))
+        return;
+    for (auto &[id, follower] : m_followers) {
+        if (now - follower.lastSeen < kFollowerTimeout
+            && follower.sentRevision < m_control.revision())
+            feedFollower(id, follower, 0);
+    }
+}
+
+void ReplicaHost::detectFailures(TimePoint now)
+{
+    // A new leader has heard nobody yet, so it gives everybody a whole time-out.
+    for (const auto &[id, record] : m_control.instances()) {
+        const auto known = m_followers.find(id);
+        const auto seen = known == m_followers.end() ? TimePoint{} : known->second.lastSeen;
+        const auto silentSince = std::max(seen, m_controlLeaderSince);
+        if (!record.failed && now - silentSince > m_settings.instanceTimeout)
+            proposeControl(now, control::RemoveInstance{id, record.incarnation, true});
+    }
+    for (const auto &[id, record] : m_control.upstreams()) {
+        const auto known = m_upstreams.find(id);
+        const auto current = known != m_upstreams.end()
+                             && known->second.incarnation == record.incarnation;
+        if (!current) {
+            m_upstreams[id] = UpstreamState{record.incarnation, now, 0};
+            continue;
+        }
+        const auto silentSince = std::max(known->second.renewedAt, m_controlLeaderSince);
+        if (now - silentSince > m_settings.upstreamTimeout)
+            proposeControl(now, control::RemoveUpstream{id, record.incarnation});
+    }
+    std::erase_if(m_upstreams, [this](const auto &item) {
+        return !m_control.upstreams().contains(item.first);
+    });
+    std::erase_if(m_followers, [&](const auto &item) {
+        const auto record = m_control.instances().find(item.first);
+        return record == m_control.instances().end()
+               && now - item.second.lastSeen > m_settings.instanceTimeout;
+    });
+}
+
+void ReplicaHost::giveOrders(TimePoint now)
+{
+    const auto fencing = m_groups.at(kControlGroup).replica.term();
+    for (const auto &[number, order] : m_control.orders()) {
+        if (order.state != control::OrderState::Pending)
+            continue;
+        const auto target = m_control.upstreams().find(order.upstream);
+        if (target == m_control.upstreams().end()) {
+            proposeControl(now, control::SettleOrder{number, control::OrderState::Withdrawn});
+            continue;
+        }
+        auto &sent = m_ordersSent[number];
+        if (sent != TimePoint{} && now - sent < kOrderRetry)
+            continue;
+        sent = now;
+        const nlohmann::json body{{"fencing", fencing},
+                                  {"order", number},
+                                  {"action", order.action},
+                                  {"argument", order.argument}};
+        m_output.orders.push_back(
+            {order.upstream, target->second.offer.address, "/orders", body.dump(), number});
+    }
+}
+
+void ReplicaHost::orderDone(TimePoint now, const UpstreamOrder &order, bool acknowledged)
+{
+    if (const auto *number = std::get_if<std::uint64_t>(&order.subject)) {
+        m_ordersSent.erase(*number);
+        if (acknowledged)
+            proposeControl(now, control::SettleOrder{*number, control::OrderState::Acknowledged});
+        else
+            m_ordersSent[*number] = now;
+        return;
+    }
+    const auto &release = std::get<programs::PendingRelease>(order.subject);
+    for (auto &[id, group] : m_groups) {
+        if (acknowledged && group.ledger.pendingReleases().contains(release))
+            proposeProgram(now, group,
+                           programs::ReleaseDone{release.key, release.holder.upstream,
+                                                 release.holder.incarnation});
+    }
+}
+
+void ReplicaHost::proposeControl(TimePoint now, const control::ControlCommand &command)
+{
+    // Proposals of the leader itself are repeated by its next maintenance if they come to nothing.
+    static_cast<void>(
+        m_groups.at(kControlGroup).replica.propose(now, encodeVariant(command)));
+}
+
+} // namespace heathergate::daemon
--- /dev/null
+++ b/libs/daemon/src/replica_host_shards.cpp
@@ -0,0 +1,90 @@
+#include <heathergate/daemon/replica_host.h>
+
+/// The duties of a host that leads program shards, and the replacement of replicas.
+namespace heathergate::daemon {
+
+namespace {
+
+constexpr Duration kReleaseRetry = std::chrono::seconds(2);
+
+} // namespace
+
+void ReplicaHost::maintainShard(TimePoint now, Group &group)
+{
+    if (group.ledger.needsSweep(group.replica.groupTime(now)))
+        proposeProgram(now, group, programs::Sweep{});
+    for (const auto &[instance, incarnation] : group.ledger.instancesWithCalls()) {
+        const auto record = m_control.instances().find(instance);
+        const auto alive = record != m_control.instances().end() && !record->second.failed
+                           && record->second.incarnation == incarnation;
+        // A control state older than the incarnation knows nothing about it.
+        if (!alive && m_control.revision() >= incarnation)
+            proposeProgram(now, group, programs::InstanceGone{instance, incarnation});
+    }
+    for (const auto &holder : group.ledger.holders()) {
+        const auto record = m_control.upstreams().find(holder.upstream);
+        const auto alive = record != m_control.upstreams().end()
+                           && record->second.incarnation == holder.incarnation;
+        if (!alive && m_control.revision() >= holder.incarnation)
+            proposeProgram(now, group,
+                           programs::UpstreamGone{holder.upstream, holder.incarnation});
+    }
+    releaseMemory(now, group);
+}
+
+void ReplicaHost::releaseMemory(TimePoint now, Group &group)
+{
+    const auto &pending = group.ledger.pendingReleases();
+    std::erase_if(group.releasesSent,
+                  [&](const auto &item) { return !pending.contains(item.first); });
+    for (const auto &release : pending) {
+        const auto target = m_control.upstreams().find(release.holder.upstream);
+        if (target == m_control.upstreams().end())
+            continue;
+        auto &sent = group.releasesSent[release];
+        if (sent != TimePoint{} && now - sent < kReleaseRetry)
+            continue;
+        sent = now;
+        const nlohmann::json body{{"program", release.key.customer.value + "/"
+                                                  + release.key.program.value}};
+        m_output.orders.push_back({release.holder.upstream, target->second.offer.address,
+                                   "/programs/release", body.dump(), release});
+    }
+}
+
+void ReplicaHost::driveReplacement(TimePoint now, GroupId id, Group &group)
+{
+    if (m_control.replacements().empty())
+        return;
+    const auto &replacement = m_control.replacements().front();
+    const consensus::ReplicaId oldReplica(replacement.oldReplica);
+    const consensus::ReplicaId newReplica(replacement.newReplica);
+    auto &replica = group.replica;
+    const auto &members = replica.configuration();
+    // Each step is refused until the one before it is committed, and is tried again later.
+    if (!members.isVoter(newReplica) && !members.isLearner(newReplica))
+        static_cast<void>(replica.addLearner(now, newReplica));
+    else if (members.isLearner(newReplica))
+        static_cast<void>(replica.promote(now, newReplica));
+    else if (members.isVoter(oldReplica) && instanceOf(oldReplica) == m_settings.self)
+        replica.transferLeadership(now);
+    else if (members.isVoter(oldReplica))
+        static_cast<void>(replica.removeMember(now, oldReplica));
+    if (id != kControlGroup)
+        return;
+    const auto done = std::all_of(m_groups.begin(), m_groups.end(), [&](const auto &item) {
+        const auto &configuration = item.second.replica.configuration();
+        return configuration.isVoter(newReplica) && !configuration.isVoter(oldReplica);
+    });
+    if (done)
+        proposeControl(now, control::EndReplacement{replacement.oldReplica});
+}
+
+void ReplicaHost::proposeProgram(TimePoint now, Group &group,
+                                 const programs::ProgramCommand &command)
+{
+    // Proposals of the leader itself are repeated by its next maintenance if they come to nothing.
+    static_cast<void>(group.replica.propose(now, encodeVariant(command)));
+}
+
+} // namespace heathergate::daemon
--- /dev/null
+++ b/libs/daemon/src/settings.cpp
@@ -0,0 +1,404 @@
+#include <heathergate/daemon/settings.h>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace heathergate::daemon {
+
+namespace {
+
+constexpr std::size_t kMinSecretLength = 16;
+constexpr std::size_t kKeyHashLength = 64;
+
+/// Reads one table and remembers which keys were asked for, so that unknown ones are found.
+class TableReader
+{
+public:
+    TableReader(const toml::table *table, std::string name, std::string file)
+        : m_table(table)
+        , m_name(std::move(name))
+        , m_file(std::move(file))
+    {
+    }
+
+    /// Reads a value if the key is there; `check` returns what is allowed if the value is not.
+    template <typename T, typename Check>
+    void read(const std::string &key, T &target, const std::string &allowed, Check check)
+    {
+        m_known.insert(key);
+        const auto *node = m_table == nullptr ? nullptr : m_table->get(key);
+        if (node == nullptr)
+            return;
+        const auto value = node->value<T>();
+        if (!value || !check(*value)) {
+            report(*node, key, allowed);
+            return;
+        }
+        target = *value;
+    }
+
+    void readText(const std::string &key, std::string &target)
+    {
+        read<std::string>(key, target, "text that is not empty",
+                          [](const std::string &text) { return !text.empty(); });
+    }
+
+    template <typename Id>
+    void readName(const std::string &key, Id &target)
+    {
+        auto text = target.value;
+        read<std::string>(key, text, "letters, digits, '-' and '_', at most 64", isName);
+        target = Id(text);
+    }
+
+    void readEndpoint(const std::string &key, Endpoint &target)
+    {
+        auto text = target.host.empty() ? std::string() : target.text();
+        read<std::string>(key, text, "IPv4-address:port",
+                          [](const std::string &value) { return parseEndpoint(value).has_value(); });
+        if (const auto endpoint = parseEndpoint(text))
+            target = *endpoint;
+    }
+
+    template <typename Number>
+    void readNumber(const std::string &key, Number &target, std::int64_t least, std::int64_t most)
+    {
+        auto number = static_cast<std::int64_t>(target);
+        read<std::int64_t>(key, number,
+                           "a whole number from " + std::to_string(least) + " to "
+                               + std::to_string(most),
+                           [&](std::int64_t value) { return value >= least && value <= most; });
+        target = static_cast<Number>(number);
+    }
+
+    template <typename Unit, typename Target>
+    void readTime(const std::string &key, Target &target, std::int64_t least, std::int64_t most)
+    {
+        auto count = std::chrono::duration_cast<Unit>(target).count();
+        readNumber(key, count, least, most);
+        target = Unit(count);
+    }
+
+    void require(const std::string &key, bool present)
+    {
+        if (!present && m_error.empty())
+            m_error = m_file + ": [" + m_name + "] " + key + " is missing";
+    }
+
+    /// Returns the first error, counting keys that nobody asked for.
+    [[nodiscard]] auto finish() -> std::string
+    {
+        if (m_table == nullptr || !m_error.empty())
+            return m_error;
+        for (const auto &[key, node] : *m_table) {
+            const std::string name(key.str());
+            if (!m_known.contains(name))
+                return place(node) + "[" + m_name + "] " + name + " is not a known key";
+        }
+        return {};
+    }
+
+    void addKnown(const std::string &key)
+    {
+        m_known.insert(key);
+    }
+
+    [[nodiscard]] static auto isName(const std::string &text) -> bool
+    {
+        return !text.empty() && text.size() <= 64
+               && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+                      return std::isalnum(c) != 0 || c == '-' || c == '_';
+                  });
+    }
+
+private:
+    [[nodiscard]] auto place(const toml::node &node) const -> std::string
+    {
+        return m_file + ":" + std::to_string(node.source().begin.line) + ": ";
+    }
+
+    void report(const toml::node &node, const std::string &key, const std::string &allowed)
+    {
+        if (!m_error.empty())
+            return;
+        std::ostringstream value;
+        node.visit([&value](const auto &item) { value << item; });
+        m_error = place(node) + "[" + m_name + "] " + key + " = " + value.str() + " must be "
+                  + allowed;
+    }
+
+    const toml::table *m_table;
+    std::string m_name;
+    std::string m_file;
+    std::set<std::string> m_known;
+    std::string m_error;
+};
+
+/// Reads all tables of a file; the first error is kept.
+class SettingsReader
+{
+public:
+    SettingsReader(const toml::table &root, std::string file)
+        : m_root(root)
+        , m_file(std::move(file))
+    {
+    }
+
+    auto read() -> Result<Settings>
+    {
+        readInstance();
+        readFleet();
+        readStorage();
+        readKeys();
+        readCallers();
+        readOpenRoutes();
+        readUpstreams();
+        readPrograms();
+        checkTables();
+        checkTogether();
+        if (!m_error.empty())
+            return fail(Code::BadSetting, m_error);
+        return m_settings;
+    }
+
+private:
+    [[nodiscard]] auto table(const std::string &name) -> TableReader
+    {
+        m_tables.insert(name);
+        const auto *node = m_root.get(name);
+        if (node != nullptr && !node->is_table())
+            keep(m_file + ": " + name + " must be a table");
+        return {node == nullptr ? nullptr : node->as_table(), name, m_file};
+    }
+
+    void keep(const std::string &error)
+    {
+        if (m_error.empty())
+            m_error = error;
+    }
+
+    void readInstance()
+    {
+        auto reader = table("instance");
+        reader.readName("id", m_settings.id);
+        reader.readName("failure_domain", m_settings.domain);
+        reader.readEndpoint("caller_address", m_settings.caller);
+        reader.readEndpoint("peer_address", m_settings.peer);
+        std::string level = "info";
+        reader.read<std::string>("log_level", level, "debug, info, warning or error",
+                                 [](const std::string &name) {
+                                     return telemetry::parseLogLevel(name).has_value();
+                                 });
+        m_settings.logLevel = telemetry::parseLogLevel(level).value_or(telemetry::LogLevel::Info);
+        reader.require("id", !m_settings.id.empty());
+        reader.require("failure_domain", !m_settings.domain.empty());
+        reader.require("caller_address", m_settings.caller.port != 0);
+        keep(reader.finish());
+    }
+
+    void readFleet()
+    {
+        auto reader = table("fleet");
+        reader.readText("cluster", m_settings.cluster);
+        reader.readNumber("shards", m_settings.shards, 1, 1024);
+        reader.addKnown("secrets");
+        reader.addKnown("disk_instances");
+        readSecrets();
+        readDiskInstances();
+        keep(reader.finish());
+    }
+
+    void readSecrets()
+    {
+        const auto *list = m_root["fleet"]["secrets"].as_array();
+        if (list == nullptr)
+            return;
+        for (const auto &node : *list) {
+            const auto secret = node.value<std::string>();
+            if (!secret || secret->size() < kMinSecretLength)
+                keep(m_file + ":" + std::to_string(node.source().begin.line)
+                     + ": [fleet] secrets must be texts of at least 16 characters");
+            else
+                m_settings.fleetSecrets.push_back(*secret);
+        }
+    }
+
+    void readDiskInstances()
+    {
+        const auto *list = m_root["fleet"]["disk_instances"].as_array();
+        if (list == nullptr)
+            return;
+        for (const auto &node : *list) {
+            TableReader reader(node.as_table(), "fleet.disk_instances", m_file);
+            DiskInstance disk;
+            reader.readName("id", disk.id);
+            reader.readEndpoint("peer_address", disk.peer);
+            reader.require("id", !disk.id.empty());
+            reader.require("peer_address", disk.peer.port != 0);
+            keep(reader.finish());
+            m_settings.diskInstances.push_back(disk);
+        }
+    }
+
+    void readStorage()
+    {
+        auto reader = table("storage");
+        reader.readText("folder", m_settings.dataFolder);
+        keep(reader.finish());
+    }
+
+    void readKeys()
+    {
+        auto reader = table("keys");
+        const auto longEnough
+            = [](const std::string &text) { return text.size() >= kMinSecretLength; };
+        const auto hash = [](const std::string &text) { return text.size() == kKeyHashLength; };
+        reader.read<std::string>("hash_secret", m_settings.hashSecret,
+                                 "text of at least 16 characters", longEnough);
+        reader.read<std::string>("operator_key_hash", m_settings.operatorKeyHash,
+                                 "64 hexadecimal digits, from 'heathergate key new'", hash);
+        reader.read<std::string>("upstream_token", m_settings.upstreamToken,
+                                 "text of at least 16 characters", longEnough);
+        reader.require("hash_secret", !m_settings.hashSecret.empty());
+        reader.require("operator_key_hash", !m_settings.operatorKeyHash.empty());
+        reader.require("upstream_token", !m_settings.upstreamToken.empty());
+        keep(reader.finish());
+    }
+
+    void readCallers()
+    {
+        auto reader = table("callers");
+        reader.readTime<std::chrono::seconds>("directory_ttl_s", m_settings.directoryTtl, 1, 60);
+        reader.readTime<std::chrono::seconds>("request_deadline_s", m_settings.requestDeadline, 1,
+                                              3600);
+        reader.readTime<std::chrono::seconds>("idle_timeout_s", m_settings.idleTimeout, 1, 3600);
+        reader.readNumber("max_body_bytes", m_settings.maxBodyBytes, 1024, 64 << 20);
+        reader.readNumber("max_header_bytes", m_settings.maxHeaderBytes, 4096, 1 << 20);
+        reader.readNumber("max_connections", m_settings.maxConnections, 1, 1 << 20);
+        reader.readNumber("max_connections_per_address", m_settings.maxConnectionsPerAddress, 1,
+                          1 << 20);
+        reader.readNumber("max_queued", m_settings.maxQueued, 1, 1'000'000);
+        reader.readText("certificate_file", m_settings.certificateFile);
+        reader.readText("private_key_file", m_settings.privateKeyFile);
+        if (m_settings.certificateFile.empty() != m_settings.privateKeyFile.empty())
+            keep(m_file + ": [callers] certificate_file and private_key_file go together");
+        keep(reader.finish());
+    }
+
+    void readOpenRoutes()
+    {
+        m_tables.insert("open_routes");
+        const auto *list = m_root["open_routes"].as_array();
+        if (list == nullptr)
+            return;
+        for (const auto &node : *list) {
+            TableReader reader(node.as_table(), "open_routes", m_file);
+            OpenRoute route;
+            reader.read<std::string>("path", route.path, "a path that starts with /open/",
+                                     [](const std::string &path) {
+                                         return path.starts_with("/open/");
+                                     });
+            reader.readText("service", route.service);
+            reader.require("path", !route.path.empty());
+            reader.require("service", !route.service.empty());
+            keep(reader.finish());
+            m_settings.openRoutes.push_back(route);
+        }
+    }
+
+    void readUpstreams()
+    {
+        auto reader = table("upstreams");
+        reader.readTime<std::chrono::milliseconds>("first_byte_timeout_ms",
+                                                   m_settings.firstByteTimeout, 10, 600'000);
+        reader.readTime<std::chrono::milliseconds>("progress_timeout_ms",
+                                                   m_settings.progressTimeout, 10, 600'000);
+        keep(reader.finish());
+    }
+
+    void readPrograms()
+    {
+        auto reader = table("programs");
+        reader.readNumber("max_turns", m_settings.maxTurns, 1, 100'000);
+        reader.readTime<std::chrono::seconds>("lifetime_s", m_settings.programLifetime, 1,
+                                              7 * 86'400);
+        reader.readTime<std::chrono::seconds>("idle_s", m_settings.programIdle, 1, 7 * 86'400);
+        keep(reader.finish());
+    }
+
+    void checkTables()
+    {
+        for (const auto &[key, node] : m_root) {
+            if (!m_tables.contains(std::string(key.str())))
+                keep(m_file + ":" + std::to_string(node.source().begin.line) + ": "
+                     + std::string(key.str()) + " is not a known table");
+        }
+    }
+
+    void checkTogether()
+    {
+        const auto &disks = m_settings.diskInstances;
+        if (disks.empty() && !m_settings.hasDisk())
+            keep(m_file + ": [storage] folder is missing; without [fleet] disk_instances the "
+                          "instance stands alone and needs a disk");
+        if (disks.empty())
+            return;
+        if (m_settings.fleetSecrets.empty())
+            keep(m_file + ": [fleet] secrets is missing");
+        if (m_settings.peer.port == 0)
+            keep(m_file + ": [instance] peer_address is missing");
+    }
+
+    const toml::table &m_root;
+    std::string m_file;
+    std::set<std::string> m_tables;
+    std::string m_error;
+    Settings m_settings;
+};
+
+} // namespace
+
+auto parseEndpoint(std::string_view text) -> Result<Endpoint>
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return fail(Code::BadSetting, "must be host:port");
+    Endpoint endpoint;
+    endpoint.host = text.substr(0, colon);
+    in_addr parsed{};
+    if (inet_pton(AF_INET, endpoint.host.c_str(), &parsed) != 1)
+        return fail(Code::BadSetting, "must have a numeric IPv4 address");
+    const auto port = text.substr(colon + 1);
+    const auto result = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+    if (result.ec != std::errc() || result.ptr != port.data() + port.size() || endpoint.port == 0)
+        return fail(Code::BadSetting, "must have a port from 1 to 65535");
+    return endpoint;
+}
+
+auto parseSettings(std::string_view text, const std::string &file) -> Result<Settings>
+{
+    try {
+        const auto root = toml::parse(text, file);
+        return SettingsReader(root, file).read();
+    } catch (const toml::parse_error &error) {
+        return fail(Code::BadSetting, file + ":" + std::to_string(error.source().begin.line) + ": "
+                                          + std::string(error.description()));
+    }
+}
+
+auto loadSettings(const std::string &file) -> Result<Settings>
+{
+    std::ifstream stream(file);
+    if (!stream)
+        return fail(Code::BadSetting, "cannot read " + file);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parseSettings(text.str(), file);
+}
+
+} // namespace heathergate::daemon
--- /dev/null
+++ b/libs/http/include/heathergate/http/http.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Umbrella header of the HTTP library: server, client and event streams over known libraries.
+#include <heathergate/http/client.h>
+#include <heathergate/http/event_stream.h>
+#include <heathergate/http/message.h>
+#include <heathergate/http/server.h>
--- /dev/null
+++ b/libs/limits/src/allowance_client.cpp
@@ -0,0 +1,123 @@
+#include <heathergate/limits/allowance_client.h>
+
+#include <cmath>
+
+namespace heathergate::limits {
+
+namespace {
+
+constexpr Duration kReportInterval = std::chrono::milliseconds(20);
+constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
+constexpr Duration kIdleReturn = std::chrono::milliseconds(250);
+constexpr Duration kAdvanceSpan = std::chrono::milliseconds(100);
+constexpr Duration kRateSpan = std::chrono::seconds(1);
+
+} // namespace
+
+auto AllowanceClient::tryAdmit(TimePoint now, const CustomerId &customer) -> bool
+{
+    const auto found = m_accounts.find(customer);
+    if (found == m_accounts.end())
+        return false;
+    auto &account = found->second;
+    dropExpired(now, account);
+    if (account.granted - account.consumed - account.returned < kOneToken)
+        return false;
+    account.consumed += kOneToken;
+    const auto pause = std::chrono::duration<double>(now - account.lastAdmission) / kRateSpan;
+    account.recentRate = account.recentRate * std::exp(-pause) + 1;
+    account.lastAdmission = now;
+    return true;
+}
+
+void AllowanceClient::setWaiting(const CustomerId &customer, const Limit &limit,
+                                 std::size_t waiting)
+{
+    auto &account = m_accounts[customer];
+    if (limit.revision >= account.limit.revision)
+        account.limit = limit;
+    account.waiting = waiting;
+}
+
+auto AllowanceClient::receive(TimePoint now, const AllowanceReply &reply) -> std::vector<CustomerId>
+{
+    std::vector<CustomerId> customers;
+    const TimePoint sentAt{Duration(reply.sentAt)};
+    for (const auto &grant : reply.grants) {
+        const auto found = m_accounts.find(grant.customer);
+        if (found == m_accounts.end())
+            continue;
+        auto &account = found->second;
+        account.lastGrant = grant;
+        account.requested = 0;
+        account.retryAt = now;
+        if (grant.nextToken > Duration::zero())
+            account.retryAt += std::clamp(grant.nextToken, kReportInterval, kRetryInterval);
+        customers.push_back(grant.customer);
+        if (grant.grantedTotal <= account.granted)
+            continue;
+        account.granted = grant.grantedTotal;
+        // The owner may have closed allowance that expired on its side.
+        const auto used = account.consumed + account.returned;
+        if (grant.closedTotal > used)
+            account.consumed += grant.closedTotal - used;
+        account.expiresAt = std::max(account.expiresAt, sentAt + kAllowanceTtl);
+    }
+    return customers;
+}
+
+auto AllowanceClient::lastGrant(const CustomerId &customer) const -> const AllowanceGrant *
+{
+    const auto found = m_accounts.find(customer);
+    if (found == m_accounts.end() || !found->second.lastGrant)
+        return nullptr;
+    return &*found->second.lastGrant;
+}
+
+auto AllowanceClient::nextReport() const -> TimePoint
+{
+    auto next = TimePoint::max();
+    for (const auto &[customer, account] : m_accounts)
+        next = std::min(next, reportDue(account));
+    return next;
+}
+
+void AllowanceClient::dropExpired(TimePoint now, Account &account)
+{
+    if (now >= account.expiresAt)
+        account.consumed = std::max(account.consumed, account.granted - account.returned);
+}
+
+auto AllowanceClient::reportDue(const Account &account) -> TimePoint
+{
+    if (account.waiting > account.requested)
+        return std::min(account.lastReport + kReportInterval,
+                        account.requested == 0 ? account.retryAt : TimePoint::max());
+    if (account.waiting > 0)
+        return account.lastReport + kRetryInterval;
+    if (account.consumed + account.returned != account.reported)
+        return account.lastReport + kReportInterval;
+    const auto held = account.granted - account.consumed - account.returned;
+    return held > 0 ? account.lastAdmission + kIdleReturn : TimePoint::max();
+}
+
+auto AllowanceClient::report(TimePoint now, const CustomerId &customer, Account &account)
+    -> AllowanceItem
+{
+    const auto held = account.granted - account.consumed - account.returned;
+    if (account.waiting == 0 && held > 0 && now - account.lastAdmission >= kIdleReturn)
+        account.returned += held;
+    account.reported = account.consumed + account.returned;
+    account.lastReport = now;
+    account.requested = account.waiting;
+    AllowanceItem item{customer, account.limit, account.consumed, account.returned, 0, 0};
+    const auto open = account.granted - account.consumed - account.returned;
+    const auto wanted = static_cast<MicroTokens>(account.waiting) * kOneToken;
+    item.want = std::max<MicroTokens>(0, wanted - open);
+    const auto ahead = account.recentRate * (std::chrono::duration<double>(kAdvanceSpan) / kRateSpan);
+    const auto idle = now - account.lastAdmission >= kIdleReturn;
+    item.advance = idle ? 0 : static_cast<MicroTokens>(std::ceil(ahead)) * kOneToken;
+    return item;
+}
+
+} // namespace heathergate::limits
--- /dev/null
+++ b/libs/limits/src/bucket.cpp
@@ -0,0 +1,42 @@
+#include <heathergate/limits/bucket.h>
+
+namespace heathergate::limits {
+
+auto accrued(MicroTokens rate, Duration elapsed) -> MicroTokens
+{
+    if (elapsed <= Duration::zero())
+        return 0;
+    const auto product = static_cast<__int128>(rate) * elapsed.count() / 1'000'000;
+    constexpr __int128 kMost = std::numeric_limits<MicroTokens>::max() / 4;
+    return static_cast<MicroTokens>(std::min(product, kMost));
+}
+
+auto TokenBucket::tryTake(TimePoint now) -> bool
+{
+    refill(now);
+    if (m_level < kOneToken)
+        return false;
+    m_level -= kOneToken;
+    return true;
+}
+
+auto TokenBucket::nextToken() const -> TimePoint
+{
+    if (m_level >= kOneToken)
+        return m_updatedAt;
+    if (m_limit.rate <= 0)
+        return TimePoint::max();
+    const auto missing = kOneToken - m_level;
+    return m_updatedAt + Duration(missing * 1'000'000 / m_limit.rate + 1);
+}
+
+void TokenBucket::refill(TimePoint now)
+{
+    const auto gained = accrued(m_limit.rate, now - m_updatedAt);
+    if (gained <= 0)
+        return;
+    m_level = std::min(m_limit.burst, m_level + gained);
+    m_updatedAt = now;
+}
+
+} // namespace heathergate::limits
--- /dev/null
+++ b/libs/log/include/heathergate/log/internal/record.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// The stored form of a log record: a fixed header (magic, payload length, sequence number,
+/// checksum; little-endian) followed by the payload.
+namespace heathergate::log::internal {
+
+constexpr std::size_t kRecordHeaderBytes = 24;
+constexpr std::uint32_t kMaxRecordBytes = 256U * 1024 * 1024;
+
+/// A record decoded from a segment; `payload` refers to the segment's bytes.
+struct RecordView
+{
+    std::uint64_t sequence = 0;
+    std::string_view payload;
+    std::size_t storedBytes = 0;
+};
+
+/// Appends the stored form of a record to `out`.
+void appendRecord(std::string &out, std::uint64_t sequence, std::string_view payload);
+
+/// Decodes the record at the start of `bytes`; nothing if it is incomplete or damaged.
+[[nodiscard]] auto parseRecord(std::string_view bytes) -> std::optional<RecordView>;
+
+/// Returns whether a whole record with a number of at least `minimumSequence` starts anywhere in
+/// `bytes`.
+[[nodiscard]] auto containsRecord(std::string_view bytes, std::uint64_t minimumSequence) -> bool;
+
+} // namespace heathergate::log::internal
--- /dev/null
+++ b/libs/log/include/heathergate/log/write_ahead_log.h
@@ -0,0 +1,187 @@
+#pragma once
+
+#include <heathergate/log/file_layer.h>
+#include <heathergate/log/internal/record.h>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace heathergate::log {
+
+/// A write-ahead log of numbered records in segment files, with group commit: any number of
+/// appended records become durable in one sync.
+///
+/// At start a torn tail is cut. A damaged record that is followed by a whole one, or that is not
+/// in the last segment, is never skipped: `open` fails with `Code::DataDamaged`.
+template <FileLayer Files>
+class WriteAheadLog
+{
+public:
+    using Visitor = std::function<Result<void>(std::uint64_t sequence, std::string_view payload)>;
+
+    /// Opens the log in `files` and passes every stored record, oldest first, to `visit`.
+    [[nodiscard]] static auto open(Files &files, const Visitor &visit) -> Result<WriteAheadLog>
+    {
+        WriteAheadLog log(files);
+        auto status = log.recover(visit);
+        if (!status)
+            return tl::unexpected(status.error());
+        return log;
+    }
+
+    /// Adds a record to the batch that the next `commit` makes durable. Returns its number.
+    auto append(std::string_view payload) -> std::uint64_t
+    {
+        internal::appendRecord(m_batch, m_nextSequence, payload);
+        return m_nextSequence++;
+    }
+
+    /// Writes and syncs the batch. On `Code::DiskFull` the batch is kept and nothing of it is
+    /// stored, so that the call can be repeated; other errors are final.
+    [[nodiscard]] auto commit() -> Result<void>
+    {
+        if (m_batch.empty())
+            return {};
+        if (auto written = m_files->append(m_segment, m_batch); !written)
+            return written;
+        m_segmentBytes += m_batch.size();
+        m_batch.clear();
+        if (auto synced = m_files->sync(m_segment); !synced)
+            return synced;
+        if (!std::exchange(m_folderStale, false))
+            return {};
+        return m_files->syncFolder();
+    }
+
+    /// Replaces all stored records by `payloads`, as one step that a crash does not tear: the new
+    /// segment is complete and named before the old ones are removed.
+    [[nodiscard]] auto replaceAll(const std::vector<std::string> &payloads) -> Result<void>
+    {
+        if (auto pending = commit(); !pending)
+            return pending;
+        std::string content;
+        const auto first = m_nextSequence;
+        for (const auto &payload : payloads)
+            internal::appendRecord(content, m_nextSequence++, payload);
+        const std::string temporary = "log.new";
+        const auto old = m_segments;
+        const auto name = segmentName(first);
+        auto status = writeWhole(temporary, content);
+        if (status)
+            status = m_files->rename(temporary, name);
+        if (status)
+            status = m_files->syncFolder();
+        if (!status)
+            return status;
+        m_segments.push_back(name);
+        m_segment = name;
+        m_segmentBytes = content.size();
+        return removeOld(old);
+    }
+
+    /// Returns the bytes stored in the current segment.
+    [[nodiscard]] auto storedBytes() const -> std::uint64_t
+    {
+        return m_segmentBytes;
+    }
+
+private:
+    explicit WriteAheadLog(Files &files)
+        : m_files(&files)
+    {
+    }
+
+    [[nodiscard]] static auto segmentName(std::uint64_t first) -> std::string
+    {
+        auto digits = std::to_string(first);
+        return "log-" + std::string(20 - digits.size(), '0') + digits;
+    }
+
+    [[nodiscard]] auto writeWhole(const std::string &name, std::string_view content)
+        -> Result<void>
+    {
+        auto status = m_files->truncate(name, 0);
+        if (status)
+            status = m_files->append(name, content);
+        if (status)
+            status = m_files->sync(name);
+        return status;
+    }
+
+    [[nodiscard]] auto removeOld(const std::vector<std::string> &old) -> Result<void>
+    {
+        for (const auto &name : old) {
+            if (auto removed = m_files->remove(name); !removed)
+                return removed;
+            std::erase(m_segments, name);
+        }
+        return m_files->syncFolder();
+    }
+
+    [[nodiscard]] auto recover(const Visitor &visit) -> Result<void>
+    {
+        auto names = m_files->list();
+        if (!names)
+            return tl::unexpected(names.error());
+        for (const auto &name : *names) {
+            if (name.starts_with("log-"))
+                m_segments.push_back(name);
+        }
+        std::sort(m_segments.begin(), m_segments.end());
+        // Only the newest segment holds records: a compaction that ended before it removed the
+        // older ones left them complete but superseded.
+        if (m_segments.size() > 1) {
+            const std::vector<std::string> old(m_segments.begin(), m_segments.end() - 1);
+            if (auto removed = removeOld(old); !removed)
+                return removed;
+        }
+        if (m_segments.empty()) {
+            m_segments.push_back(segmentName(m_nextSequence));
+            m_folderStale = true;
+        }
+        m_segment = m_segments.back();
+        return m_folderStale ? Result<void>{} : readSegment(visit);
+    }
+
+    [[nodiscard]] auto readSegment(const Visitor &visit) -> Result<void>
+    {
+        auto content = m_files->read(m_segment);
+        if (!content)
+            return tl::unexpected(content.error());
+        m_nextSequence = std::stoull(m_segment.substr(4));
+        std::string_view rest = *content;
+        while (!rest.empty()) {
+            const auto record = internal::parseRecord(rest);
+            if (!record || record->sequence != m_nextSequence)
+                break;
+            if (auto visited = visit(record->sequence, record->payload); !visited)
+                return visited;
+            ++m_nextSequence;
+            rest.remove_prefix(record->storedBytes);
+        }
+        m_segmentBytes = content->size() - rest.size();
+        return rest.empty() ? Result<void>{} : cutTornTail(rest);
+    }
+
+    [[nodiscard]] auto cutTornTail(std::string_view rest) -> Result<void>
+    {
+        if (internal::containsRecord(rest, m_nextSequence))
+            return fail(Code::DataDamaged, m_segment + " is damaged at byte "
+                                               + std::to_string(m_segmentBytes)
+                                               + " and whole records follow");
+        if (auto cut = m_files->truncate(m_segment, m_segmentBytes); !cut)
+            return cut;
+        return m_files->sync(m_segment);
+    }
+
+    Files *m_files;
+    std::vector<std::string> m_segments;
+    std::string m_segment;
+    std::string m_batch;
+    std::uint64_t m_nextSequence = 1;
+    std::uint64_t m_segmentBytes = 0;
+    bool m_folderStale = false;
+};
+
+} // namespace heathergate::log
--- /dev/null
+++ b/libs/log/test/write_ahead_log_test.cpp
@@ -0,0 +1,163 @@
+#include <boost/test/unit_test.hpp>
+
+#include <heathergate/log/log.h>
+#include <heathergate/testing/fake_files.h>
+
+using heathergate::Code;
+using heathergate::Result;
+using heathergate::log::WriteAheadLog;
+using heathergate::testing::FakeFiles;
+
+namespace {
+
+using Log = WriteAheadLog<FakeFiles>;
+using Payloads = std::vector<std::string>;
+
+const auto kIgnore = [](std::uint64_t, std::string_view) { return Result<void>{}; };
+
+auto openCollecting(FakeFiles &files, Payloads &found) -> Result<Log>
+{
+    return Log::open(files, [&found](std::uint64_t, std::string_view payload) {
+        found.emplace_back(payload);
+        return Result<void>{};
+    });
+}
+
+auto storedPayloads(FakeFiles &files) -> Payloads
+{
+    Payloads found;
+    BOOST_REQUIRE(openCollecting(files, found));
+    return found;
+}
+
+void writeThree(FakeFiles &files)
+{
+    auto log = Log::open(files, kIgnore);
+    for (const auto *payload : {"one", "two", "three"}) {
+        log->append(payload);
+        BOOST_REQUIRE(log->commit());
+    }
+}
+
+auto segmentOf(FakeFiles &files) -> std::string
+{
+    return files.list()->at(0);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WriteAheadLogStory)
+
+BOOST_AUTO_TEST_SUITE(WhenTheProcessCrashes)
+
+BOOST_AUTO_TEST_CASE(committedRecordsAreFoundAgain)
+{
+    FakeFiles files;
+    writeThree(files);
+    files.crash();
+    BOOST_TEST(storedPayloads(files) == (Payloads{"one", "two", "three"}),
+               boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(manyRecordsBecomeDurableInOneSync)
+{
+    FakeFiles files;
+    auto log = Log::open(files, kIgnore);
+    for (int i = 0; i < 1000; ++i)
+        log->append("record");
+    BOOST_REQUIRE(log->commit());
+    BOOST_TEST(files.syncs() == 1);
+    files.crash();
+    BOOST_TEST(storedPayloads(files).size() == 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(aTornTailIsCutAtEveryByteAndWritingGoesOn)
+{
+    const std::size_t recordBytes = heathergate::log::internal::kRecordHeaderBytes + 4;
+    for (std::size_t kept = 0; kept < recordBytes; ++kept) {
+        FakeFiles files;
+        writeThree(files);
+        auto log = Log::open(files, kIgnore);
+        log->append("four");
+        // The write reaches the disk only in part, and the process ends before the sync.
+        BOOST_REQUIRE(files.append(segmentOf(files), std::string(recordBytes, 'x')));
+        files.crash(kept);
+        BOOST_TEST_CONTEXT("kept bytes " << kept)
+        {
+            Payloads found;
+            auto reopened = openCollecting(files, found);
+            BOOST_REQUIRE(reopened);
+            BOOST_TEST(found.size() == 3U);
+            reopened->append("five");
+            BOOST_REQUIRE(reopened->commit());
+            files.crash();
+            BOOST_TEST(storedPayloads(files).back() == "five");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(compactionLeavesEitherTheOldOrTheNewRecords)
+{
+    FakeFiles files;
+    writeThree(files);
+    auto log = Log::open(files, kIgnore);
+    BOOST_REQUIRE(log->replaceAll({"summary"}));
+    files.crash();
+    BOOST_TEST(storedPayloads(files) == Payloads{"summary"}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenBytesAreDamaged)
+
+BOOST_AUTO_TEST_CASE(aDamagedRecordInTheMiddleIsNeverSkipped)
+{
+    FakeFiles clean;
+    writeThree(clean);
+    const auto length = clean.content(segmentOf(clean)).size();
+    const auto lastRecord = length - heathergate::log::internal::kRecordHeaderBytes - 5;
+    for (std::size_t at = 0; at < lastRecord; ++at) {
+        FakeFiles files;
+        writeThree(files);
+        files.content(segmentOf(files))[at] ^= 0x10;
+        auto log = Log::open(files, kIgnore);
+        BOOST_TEST_CONTEXT("damaged byte " << at)
+        {
+            BOOST_REQUIRE(!log);
+            BOOST_TEST((log.error().code == Code::DataDamaged));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aDamagedSnapshotIsRecognised)
+{
+    FakeFiles files;
+    BOOST_REQUIRE(heathergate::log::writeSnapshot(files, "snapshot", "the whole state"));
+    BOOST_TEST(heathergate::log::readSnapshot(files, "snapshot")->value() == "the whole state");
+    files.content("snapshot")[30] ^= 1;
+    BOOST_TEST((heathergate::log::readSnapshot(files, "snapshot").error().code
+                == Code::DataDamaged));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheDiskIsFull)
+
+BOOST_AUTO_TEST_CASE(theCommitIsRefusedAndSucceedsOnceThereIsSpace)
+{
+    FakeFiles files;
+    writeThree(files);
+    auto log = Log::open(files, kIgnore);
+    files.setSpaceLeft(3);
+    log->append("four");
+    const auto refused = log->commit();
+    BOOST_REQUIRE(!refused);
+    BOOST_TEST((refused.error().code == Code::DiskFull));
+    files.setSpaceLeft(std::nullopt);
+    BOOST_REQUIRE(log->commit());
+    files.crash();
+    BOOST_TEST(storedPayloads(files).size() == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
