--- /dev/null
+++ b/libs/programs/include/heathergate/programs/program_ledger.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <heathergate/programs/commands.h>
+
+#include <map>
+#include <set>
+
+namespace heathergate::programs {
+
+enum class ProgramStatus { Active, Ended, Expired };
+enum class CallState { Running, Interrupted, Completed, Unknown };
+
+/// Time for which ended programs and the answers of their calls are kept.
+constexpr Duration kRetention = std::chrono::hours(24);
+
+/// Equal requests in a row after which a program counts as looping.
+constexpr int kLoopLimit = 16;
+
+/// An upstream's incarnation that holds memory of a program.
+struct MemoryHolder
+{
+    UpstreamId upstream;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const MemoryHolder &) const = default;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(MemoryHolder, upstream, incarnation)
+};
+
+/// A call of a program, kept for resends.
+struct CallRecord
+{
+    CallKind kind = CallKind::Model;
+    CallState state = CallState::Running;
+    bool idempotent = false;
+    int turn = 0;
+    int attempt = 0;
+    std::string digest;
+    std::int64_t reserved = 0;
+    Placement placement;
+    int status = 0;
+    std::string contentType;
+    std::string answer;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(CallRecord, kind, state, idempotent, turn, attempt, digest,
+                                   reserved, placement, status, contentType, answer)
+};
+
+/// A program or sub-agent. Budget and reservations are kept in the root only.
+struct Program
+{
+    ProgramLimits limits;
+    std::string startId;
+    ProgramStatus status = ProgramStatus::Active;
+    std::string endReason;
+    GroupTime startedAt{};
+    GroupTime lastActivity{};
+    std::int64_t spent = 0;
+    std::int64_t reserved = 0;
+    int turns = 0;
+    CallId active;
+    std::string lastDigest;
+    int repeats = 0;
+    /// Each item is a JSON array of the messages of one turn.
+    std::vector<std::string> history;
+    std::map<CallId, CallRecord> calls;
+    /// Newest last.
+    std::vector<MemoryHolder> holders;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(Program, limits, startId, status, endReason, startedAt, lastActivity,
+                                   spent, reserved, turns, active, lastDigest, repeats, history,
+                                   calls, holders)
+};
+
+/// Memory that an upstream still has to release for a program that is gone.
+struct PendingRelease
+{
+    ProgramKey key;
+    MemoryHolder holder;
+
+    auto operator<=>(const PendingRelease &) const = default;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(PendingRelease, key, holder)
+};
+
+/// The replicated state of a program shard: programs with their history, budget and calls, and
+/// the rate buckets of the customers that the shard owns. A deterministic function of its log.
+class ProgramLedger
+{
+public:
+    /// Applies a command proposed at group time `now`.
+    auto apply(GroupTime now, const ProgramCommand &command) -> ProgramOutcome;
+
+    /// Returns a program; null if there is none.
+    [[nodiscard]] auto find(const ProgramKey &key) const -> const Program *;
+    /// Returns the whole history as a JSON array.
+    [[nodiscard]] static auto historyOf(const Program &program) -> std::string;
+    /// Returns the releases that upstreams have not acknowledged yet.
+    [[nodiscard]] auto pendingReleases() const -> const std::set<PendingRelease> &
+    {
+        return m_releases;
+    }
+    /// Returns whether a `Sweep` at `now` would change anything.
+    [[nodiscard]] auto needsSweep(GroupTime now) const -> bool;
+    /// Returns the incarnations of instances that have running calls.
+    [[nodiscard]] auto instancesWithCalls() const -> std::set<std::pair<InstanceId, std::uint64_t>>;
+    /// Returns the incarnations of upstreams that hold memory or owe a release.
+    [[nodiscard]] auto holders() const -> std::set<MemoryHolder>;
+    [[nodiscard]] auto programCount() const -> std::size_t
+    {
+        return m_programs.size();
+    }
+
+    friend void to_json(nlohmann::json &json, const ProgramLedger &ledger);
+    friend void from_json(const nlohmann::json &json, ProgramLedger &ledger);
+
+private:
+    auto applyOne(GroupTime now, const StartProgram &start) -> ProgramOutcome;
+    auto applyOne(GroupTime now, const BeginCall &begin) -> ProgramOutcome;
+    auto applyOne(GroupTime now, const FinishCall &finish) -> ProgramOutcome;
+    auto applyOne(GroupTime now, const SettleCall &settlement) -> ProgramOutcome;
+    auto applyOne(GroupTime now, const EndProgram &end) -> ProgramOutcome;
+    auto applyOne(GroupTime now, const InstanceGone &gone) -> ProgramOutcome;
+    auto applyOne(GroupTime now, const ReleaseDone &release) -> ProgramOutcome;
+    auto applyOne(GroupTime now, const UpstreamGone &gone) -> ProgramOutcome;
+    auto applyOne(GroupTime now, const Sweep &sweep) -> ProgramOutcome;
+    auto applyOne(GroupTime now, const limits::AllowanceRequest &request) -> ProgramOutcome;
+
+    [[nodiscard]] auto resend(GroupTime now, Program &program, CallRecord &record,
+                              const BeginCall &begin) -> ProgramOutcome;
+    [[nodiscard]] auto mayBegin(const Program &program, const BeginCall &begin) const
+        -> Result<void>;
+    [[nodiscard]] auto started(Program &program, CallRecord &record, const BeginCall &begin)
+        -> ProgramOutcome;
+    void supersedeInterrupted(Program &program, Program &root);
+    void release(Program &program, Program &root, CallRecord &record);
+    void releaseMemory(const ProgramKey &key, Program &program);
+    void end(const ProgramKey &key, Program &program, ProgramStatus status, std::string reason,
+             GroupTime now);
+    [[nodiscard]] auto expiryReason(const Program &program, GroupTime now) const -> std::string;
+
+    std::map<ProgramKey, Program> m_programs;
+    std::set<PendingRelease> m_releases;
+    limits::BucketLedger m_buckets;
+};
+
+} // namespace heathergate::programs
--- /dev/null
+++ b/libs/programs/src/program_ledger.cpp
@@ -0,0 +1,451 @@
+#include <heathergate/programs/program_ledger.h>
+
+#include <algorithm>
+
+namespace heathergate::programs {
+
+namespace {
+
+auto refused(Code code, std::string detail, Ran ran = Ran::No, Duration retryAfter = {})
+    -> ProgramOutcome
+{
+    ProgramOutcome outcome;
+    outcome.error = Error{code, std::move(detail), ran, retryAfter};
+    return outcome;
+}
+
+auto unknownProgram(const ProgramKey &key) -> ProgramOutcome
+{
+    return refused(Code::UnknownProgram, "no program " + key.program.value);
+}
+
+auto recordedAnswer(const CallRecord &record) -> ProgramOutcome
+{
+    ProgramOutcome outcome;
+    outcome.turn = record.turn;
+    outcome.status = record.status;
+    outcome.contentType = record.contentType;
+    outcome.answer = record.answer;
+    return outcome;
+}
+
+auto isPastRetention(const Program &program, GroupTime now) -> bool
+{
+    return program.status != ProgramStatus::Active && program.lastActivity + kRetention < now;
+}
+
+} // namespace
+
+auto ProgramLedger::apply(GroupTime now, const ProgramCommand &command) -> ProgramOutcome
+{
+    return std::visit([&](const auto &item) { return applyOne(now, item); }, command);
+}
+
+auto ProgramLedger::find(const ProgramKey &key) const -> const Program *
+{
+    const auto found = m_programs.find(key);
+    return found == m_programs.end() ? nullptr : &found->second;
+}
+
+auto ProgramLedger::historyOf(const Program &program) -> std::string
+{
+    std::string joined = "[";
+    for (const auto &turn : program.history) {
+        const auto inner = std::string_view(turn).substr(1, turn.size() - 2);
+        if (inner.empty())
+            continue;
+        if (joined.size() > 1)
+            joined += ',';
+        joined += inner;
+    }
+    return joined + "]";
+}
+
+auto ProgramLedger::applyOne(GroupTime now, const StartProgram &start) -> ProgramOutcome
+{
+    const auto known = m_programs.find(start.key);
+    if (known != m_programs.end() && known->second.startId == start.startId)
+        return {};
+    if (known != m_programs.end())
+        return refused(Code::AlreadyExists, "program " + start.key.program.value + " exists");
+    const auto root = m_programs.find(rootOf(start.key));
+    const auto isRoot = rootOf(start.key) == start.key;
+    if (!isRoot && root == m_programs.end())
+        return unknownProgram(rootOf(start.key));
+    if (!isRoot && root->second.status != ProgramStatus::Active)
+        return refused(Code::ProgramEnded, "the root program has ended");
+    Program program;
+    program.limits = start.limits;
+    program.startId = start.startId;
+    program.startedAt = now;
+    program.lastActivity = now;
+    m_programs.emplace(start.key, std::move(program));
+    return {};
+}
+
+auto ProgramLedger::applyOne(GroupTime now, const BeginCall &begin) -> ProgramOutcome
+{
+    if (begin.standalone && !m_programs.contains(begin.key)) {
+        Program holder;
+        holder.limits.idle = kRetention;
+        holder.startedAt = now;
+        m_programs.emplace(begin.key, std::move(holder));
+    }
+    const auto found = m_programs.find(begin.key);
+    if (found == m_programs.end())
+        return unknownProgram(begin.key);
+    auto &program = found->second;
+    if (const auto known = program.calls.find(begin.call); known != program.calls.end())
+        return resend(now, program, known->second, begin);
+    supersedeInterrupted(program, m_programs.at(rootOf(begin.key)));
+    if (const auto allowed = mayBegin(program, begin); !allowed)
+        return refused(allowed.error().code, allowed.error().detail, Ran::No,
+                       allowed.error().retryAfter);
+    program.repeats = program.lastDigest == begin.digest ? program.repeats + 1 : 1;
+    program.lastDigest = begin.digest;
+    if (begin.kind == CallKind::Model && program.repeats > kLoopLimit) {
+        end(begin.key, program, ProgramStatus::Expired, "loop", now);
+        return refused(Code::ProgramEnded, "the program repeats the same request");
+    }
+    auto &root = m_programs.at(rootOf(begin.key));
+    root.reserved += begin.reserve;
+    root.lastActivity = now;
+    program.lastActivity = now;
+    program.active = begin.call;
+    if (begin.kind == CallKind::Model)
+        ++program.turns;
+    CallRecord record;
+    record.kind = begin.kind;
+    record.idempotent = begin.idempotent;
+    record.turn = program.turns;
+    record.digest = begin.digest;
+    record.reserved = begin.reserve;
+    auto &stored = program.calls[begin.call] = std::move(record);
+    return started(program, stored, begin);
+}
+
+void ProgramLedger::supersedeInterrupted(Program &program, Program &root)
+{
+    const auto active = program.calls.find(program.active);
+    if (active == program.calls.end() || active->second.state != CallState::Interrupted)
+        return;
+    // The upstream may have worked for it, so the worst case counts as spent.
+    auto &record = active->second;
+    root.spent += record.reserved;
+    release(program, root, record);
+    record.state = CallState::Unknown;
+}
+
+auto ProgramLedger::mayBegin(const Program &program, const BeginCall &begin) const -> Result<void>
+{
+    constexpr Duration kBusyRetry = std::chrono::milliseconds(50);
+    const auto &root = m_programs.at(rootOf(begin.key));
+    if (program.status != ProgramStatus::Active || root.status != ProgramStatus::Active)
+        return fail(Code::ProgramEnded, "the program has ended");
+    if (!program.active.empty())
+        return fail(Code::CallInProgress, "the program's call " + program.active.value + " runs",
+                    Ran::No, kBusyRetry);
+    if (begin.turn != 0 && begin.turn != program.turns + 1)
+        return fail(Code::OutOfOrder, "the next turn is " + std::to_string(program.turns + 1));
+    if (begin.kind == CallKind::Model && program.limits.maxTurns > 0
+        && program.turns >= program.limits.maxTurns)
+        return fail(Code::TurnLimit,
+                    "all " + std::to_string(program.limits.maxTurns) + " turns are used");
+    const auto left = root.limits.budget - root.spent - root.reserved;
+    if (begin.reserve > left)
+        return fail(Code::BudgetExhausted, "needs " + std::to_string(begin.reserve) + " tokens, "
+                                               + std::to_string(left) + " are left");
+    return {};
+}
+
+auto ProgramLedger::resend(GroupTime now, Program &program, CallRecord &record,
+                           const BeginCall &begin) -> ProgramOutcome
+{
+    if (record.digest != begin.digest)
+        return refused(Code::KeyReusedWithOtherBody,
+                       "call " + begin.call.value + " was made with another request");
+    if (record.state == CallState::Completed)
+        return recordedAnswer(record);
+    if (record.state == CallState::Unknown)
+        return refused(Code::OutcomeUnknown, "the call may have run before", Ran::Unknown);
+    if (program.status != ProgramStatus::Active)
+        return refused(Code::ProgramEnded, "the program has ended");
+    const auto sameSender = record.placement.instance == begin.placement.instance
+                            && record.placement.instanceIncarnation
+                                   == begin.placement.instanceIncarnation
+                            && record.placement.request == begin.placement.request;
+    const auto isRetry = sameSender && begin.retryOf == record.attempt && begin.retryOf > 0;
+    if (record.state == CallState::Running && !isRetry) {
+        // The command itself may arrive twice; the attempt it began is still the sender's.
+        const auto sameCommand = sameSender && begin.retryOf == record.attempt - 1
+                                 && record.placement.upstream == begin.placement.upstream;
+        if (!sameCommand)
+            return refused(Code::CallInProgress, "the call is running now", Ran::Unknown,
+                           std::chrono::milliseconds(100));
+        --record.attempt;
+    }
+    program.lastActivity = now;
+    return started(program, record, begin);
+}
+
+auto ProgramLedger::started(Program &program, CallRecord &record, const BeginCall &begin)
+    -> ProgramOutcome
+{
+    record.state = CallState::Running;
+    record.placement = begin.placement;
+    ++record.attempt;
+    ProgramOutcome outcome;
+    outcome.attempt = record.attempt;
+    outcome.turn = record.turn;
+    if (record.kind != CallKind::Model)
+        return outcome;
+    const MemoryHolder holder{begin.placement.upstream, begin.placement.upstreamIncarnation};
+    std::erase(program.holders, holder);
+    program.holders.push_back(holder);
+    outcome.history = historyOf(program);
+    return outcome;
+}
+
+auto ProgramLedger::applyOne(GroupTime now, const FinishCall &finish) -> ProgramOutcome
+{
+    const auto found = m_programs.find(finish.key);
+    if (found == m_programs.end())
+        return unknownProgram(finish.key);
+    auto &program = found->second;
+    const auto known = program.calls.find(finish.call);
+    if (known == program.calls.end())
+        return refused(Code::OutOfOrder, "the call is not known", Ran::Unknown);
+    auto &record = known->second;
+    if (record.state == CallState::Completed && record.attempt == finish.attempt)
+        return recordedAnswer(record);
+    // A sender that was taken for dead may still deliver the answer of the last attempt.
+    const auto awaited = record.state == CallState::Running
+                         || record.state == CallState::Interrupted
+                         || (record.state == CallState::Unknown && record.kind == CallKind::Service);
+    if (record.attempt != finish.attempt || !awaited)
+        return refused(Code::OutOfOrder, "the attempt is not the current one", Ran::Unknown);
+    auto &root = m_programs.at(rootOf(finish.key));
+    program.lastActivity = now;
+    root.lastActivity = now;
+    if (finish.result == CallResult::NotRun) {
+        release(program, root, record);
+        if (record.kind == CallKind::Model)
+            --program.turns;
+        program.calls.erase(known);
+        return {};
+    }
+    if (finish.result == CallResult::Unknown) {
+        // What it may have used stays reserved, so that the budget holds in either case.
+        record.state = record.idempotent ? CallState::Interrupted : CallState::Unknown;
+        if (record.state == CallState::Unknown && program.active == finish.call)
+            program.active = CallId();
+        return {};
+    }
+    release(program, root, record);
+    root.spent += finish.used;
+    record.state = CallState::Completed;
+    record.status = finish.status;
+    record.contentType = finish.contentType;
+    record.answer = finish.answer;
+    if (finish.messages.size() > 2)
+        program.history.push_back(finish.messages);
+    if (program.status != ProgramStatus::Active)
+        releaseMemory(finish.key, program);
+    return recordedAnswer(record);
+}
+
+auto ProgramLedger::applyOne(GroupTime now, const SettleCall &settlement) -> ProgramOutcome
+{
+    const auto found = m_programs.find(settlement.key);
+    if (found == m_programs.end())
+        return unknownProgram(settlement.key);
+    auto &program = found->second;
+    const auto known = program.calls.find(settlement.call);
+    if (known == program.calls.end() || known->second.state != CallState::Unknown)
+        return refused(Code::BadRequest, "no call of unknown outcome has this key");
+    auto &record = known->second;
+    auto &root = m_programs.at(rootOf(settlement.key));
+    program.lastActivity = now;
+    const auto held = record.reserved;
+    release(program, root, record);
+    if (!settlement.ran) {
+        program.calls.erase(known);
+        return {};
+    }
+    root.spent += held;
+    record.state = CallState::Completed;
+    record.status = settlement.status;
+    record.contentType = "application/json";
+    record.answer = settlement.answer;
+    return recordedAnswer(record);
+}
+
+auto ProgramLedger::applyOne(GroupTime now, const EndProgram &ending) -> ProgramOutcome
+{
+    const auto found = m_programs.find(ending.key);
+    if (found == m_programs.end())
+        return unknownProgram(ending.key);
+    if (found->second.status == ProgramStatus::Active)
+        end(ending.key, found->second, ProgramStatus::Ended, "ended by the caller", now);
+    return {};
+}
+
+auto ProgramLedger::applyOne(GroupTime, const InstanceGone &gone) -> ProgramOutcome
+{
+    for (auto &[key, program] : m_programs) {
+        for (auto &[id, record] : program.calls) {
+            if (record.state != CallState::Running || record.placement.instance != gone.instance
+                || record.placement.instanceIncarnation != gone.incarnation)
+                continue;
+            record.state = record.idempotent ? CallState::Interrupted : CallState::Unknown;
+            if (record.state == CallState::Unknown && program.active == id)
+                program.active = CallId();
+        }
+    }
+    return {};
+}
+
+auto ProgramLedger::applyOne(GroupTime, const ReleaseDone &done) -> ProgramOutcome
+{
+    m_releases.erase({done.key, {done.upstream, done.upstreamIncarnation}});
+    return {};
+}
+
+auto ProgramLedger::applyOne(GroupTime, const UpstreamGone &gone) -> ProgramOutcome
+{
+    const MemoryHolder holder{gone.upstream, gone.incarnation};
+    std::erase_if(m_releases, [&](const auto &item) { return item.holder == holder; });
+    for (auto &[key, program] : m_programs)
+        std::erase(program.holders, holder);
+    return {};
+}
+
+auto ProgramLedger::applyOne(GroupTime now, const Sweep &) -> ProgramOutcome
+{
+    m_buckets.forgetIdle(now);
+    for (auto item = m_programs.begin(); item != m_programs.end();) {
+        auto &program = item->second;
+        const auto reason = expiryReason(program, now);
+        if (!reason.empty())
+            end(item->first, program, ProgramStatus::Expired, reason, now);
+        const auto isRoot = rootOf(item->first) == item->first;
+        const auto forget = isRoot ? isPastRetention(program, now)
+                                   : !m_programs.contains(rootOf(item->first));
+        item = forget ? m_programs.erase(item) : std::next(item);
+    }
+    return {};
+}
+
+auto ProgramLedger::applyOne(GroupTime now, const limits::AllowanceRequest &request)
+    -> ProgramOutcome
+{
+    ProgramOutcome outcome;
+    outcome.allowance = m_buckets.apply(now, request);
+    return outcome;
+}
+
+auto ProgramLedger::needsSweep(GroupTime now) const -> bool
+{
+    return std::any_of(m_programs.begin(), m_programs.end(), [&](const auto &item) {
+        return !expiryReason(item.second, now).empty()
+               || (rootOf(item.first) == item.first && isPastRetention(item.second, now));
+    });
+}
+
+auto ProgramLedger::instancesWithCalls() const -> std::set<std::pair<InstanceId, std::uint64_t>>
+{
+    std::set<std::pair<InstanceId, std::uint64_t>> found;
+    for (const auto &[key, program] : m_programs) {
+        for (const auto &[id, record] : program.calls) {
+            if (record.state == CallState::Running)
+                found.emplace(record.placement.instance, record.placement.instanceIncarnation);
+        }
+    }
+    return found;
+}
+
+auto ProgramLedger::holders() const -> std::set<MemoryHolder>
+{
+    std::set<MemoryHolder> found;
+    for (const auto &item : m_releases)
+        found.insert(item.holder);
+    for (const auto &[key, program] : m_programs)
+        found.insert(program.holders.begin(), program.holders.end());
+    return found;
+}
+
+void ProgramLedger::release(Program &program, Program &root, CallRecord &record)
+{
+    root.reserved -= std::exchange(record.reserved, 0);
+    if (!program.active.empty() && program.calls.contains(program.active)
+        && &program.calls.at(program.active) == &record)
+        program.active = CallId();
+}
+
+void ProgramLedger::releaseMemory(const ProgramKey &key, Program &program)
+{
+    for (const auto &holder : program.holders)
+        m_releases.insert({key, holder});
+    // A running attempt may still fill the memory of its upstream, so its end releases it again.
+    const auto active = program.calls.find(program.active);
+    const auto running = active != program.calls.end() && active->second.kind == CallKind::Model;
+    const auto holder = running ? program.holders.back() : MemoryHolder{};
+    program.holders.clear();
+    if (running)
+        program.holders.push_back(holder);
+}
+
+void ProgramLedger::end(const ProgramKey &key, Program &program, ProgramStatus status,
+                        std::string reason, GroupTime now)
+{
+    program.status = status;
+    program.endReason = std::move(reason);
+    program.lastActivity = now;
+    releaseMemory(key, program);
+    if (rootOf(key) != key)
+        return;
+    const auto prefix = key.program.value + ".";
+    for (auto child = m_programs.upper_bound(key); child != m_programs.end(); ++child) {
+        if (child->first.customer != key.customer
+            || child->first.program.value.substr(0, key.program.value.size())
+                   != key.program.value)
+            break;
+        if (child->first.program.value.starts_with(prefix)
+            && child->second.status == ProgramStatus::Active)
+            end(child->first, child->second, status, "the root program ended", now);
+    }
+}
+
+auto ProgramLedger::expiryReason(const Program &program, GroupTime now) const -> std::string
+{
+    if (program.status != ProgramStatus::Active)
+        return {};
+    const auto &limits = program.limits;
+    if (limits.lifetime > Duration::zero() && now > program.startedAt + limits.lifetime)
+        return "lifetime";
+    if (limits.idle > Duration::zero() && now > program.lastActivity + limits.idle
+        && program.active.empty())
+        return "idle";
+    return {};
+}
+
+void to_json(nlohmann::json &json, const ProgramLedger &ledger)
+{
+    auto programs = nlohmann::json::array();
+    for (const auto &[key, program] : ledger.m_programs)
+        programs.push_back({key, program});
+    json = {{"programs", std::move(programs)},
+            {"releases", ledger.m_releases},
+            {"buckets", ledger.m_buckets}};
+}
+
+void from_json(const nlohmann::json &json, ProgramLedger &ledger)
+{
+    ledger.m_programs.clear();
+    for (const auto &item : json.at("programs"))
+        ledger.m_programs.emplace(item.at(0).get<ProgramKey>(), item.at(1).get<Program>());
+    json.at("releases").get_to(ledger.m_releases);
+    json.at("buckets").get_to(ledger.m_buckets);
+}
+
+} // namespace heathergate::programs
--- /dev/null
+++ b/libs/routing/include/heathergate/routing/health.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <heathergate/core/core.h>
+
+namespace heathergate::routing {
+
+/// Health of one upstream as an instance sees it: ejects it after failures in a row and lets it
+/// in again slowly.
+class Health
+{
+public:
+    void succeeded(TimePoint now);
+    void failed(TimePoint now);
+
+    /// Returns whether requests may be sent now.
+    [[nodiscard]] auto isAvailable(TimePoint now) const -> bool
+    {
+        return now >= m_ejectedUntil;
+    }
+
+    /// Returns the share of its usual traffic that the upstream should get, from 0 to 1.
+    [[nodiscard]] auto share(TimePoint now) const -> double;
+
+private:
+    int m_failures = 0;
+    int m_ejections = 0;
+    TimePoint m_ejectedUntil{};
+};
+
+} // namespace heathergate::routing
--- /dev/null
+++ b/libs/routing/include/heathergate/routing/policies.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <heathergate/routing/candidate.h>
+
+#include <vector>
+
+namespace heathergate::routing {
+
+/// Takes the upstreams in turn: the naive baseline.
+struct RoundRobin
+{
+    template <typename Inspect>
+    auto pick(std::size_t count, Inspect inspect, const std::vector<std::size_t> &, Random &)
+        -> std::size_t
+    {
+        for (std::size_t tried = 0; tried < count; ++tried) {
+            const auto index = m_next++ % count;
+            if (inspect(index).load <= kFullLoad)
+                return index;
+        }
+        return count;
+    }
+
+private:
+    std::size_t m_next = 0;
+};
+
+/// Takes any upstream that has room.
+struct RandomChoice
+{
+    template <typename Inspect>
+    auto pick(std::size_t count, Inspect inspect, const std::vector<std::size_t> &, Random &random)
+        -> std::size_t
+    {
+        const auto start = random.below(count);
+        for (std::size_t tried = 0; tried < count; ++tried) {
+            const auto index = (start + tried) % count;
+            if (inspect(index).load <= kFullLoad)
+                return index;
+        }
+        return count;
+    }
+};
+
+/// Takes the upstream with the least estimated load.
+struct LeastLoaded
+{
+    template <typename Inspect>
+    auto pick(std::size_t count, Inspect inspect, const std::vector<std::size_t> &, Random &random)
+        -> std::size_t
+    {
+        auto best = count;
+        auto bestLoad = kFullLoad;
+        const auto start = random.below(count);
+        for (std::size_t tried = 0; tried < count; ++tried) {
+            const auto index = (start + tried) % count;
+            const auto load = inspect(index).load;
+            if (load < bestLoad) {
+                best = index;
+                bestLoad = load;
+            }
+        }
+        return best;
+    }
+};
+
+/// Takes the less loaded of two random upstreams (Mitzenmacher, "The Power of Two Choices in
+/// Randomized Load Balancing", 2001).
+struct TwoChoices
+{
+    template <typename Inspect>
+    auto pick(std::size_t count, Inspect inspect, const std::vector<std::size_t> &hints,
+              Random &random) -> std::size_t
+    {
+        if (count == 0)
+            return count;
+        const auto first = random.below(count);
+        const auto second = random.below(count);
+        const auto better = inspect(first).load <= inspect(second).load ? first : second;
+        if (inspect(better).load <= kFullLoad)
+            return better;
+        return RandomChoice{}.pick(count, inspect, hints, random);
+    }
+};
+
+/// Prefers an upstream whose cache holds the prompt, as long as it is not much more loaded than
+/// the best of a few others; in the manner of consistent hashing with bounded loads (Mirrokni et
+/// al., 2018).
+struct PrefixAffinity
+{
+    template <typename Inspect>
+    auto pick(std::size_t count, Inspect inspect, const std::vector<std::size_t> &hints,
+              Random &random) -> std::size_t
+    {
+        auto best = count;
+        auto bestScore = 0.0;
+        const auto consider = [&](std::size_t index) {
+            const auto candidate = inspect(index);
+            if (candidate.load > kFullLoad)
+                return;
+            const auto score = scoreOf(candidate);
+            if (best == count || score > bestScore) {
+                best = index;
+                bestScore = score;
+            }
+        };
+        for (const auto index : hints)
+            consider(index);
+        const auto samples = std::min<std::size_t>(count, kSamples);
+        for (std::size_t i = 0; i < samples; ++i)
+            consider(count <= kSamples ? i : random.below(count));
+        if (best != count)
+            return best;
+        return count <= kSamples ? count : RandomChoice{}.pick(count, inspect, hints, random);
+    }
+
+private:
+    static constexpr std::size_t kSamples = 8;
+    static constexpr double kCacheWeight = 1.0;
+    static constexpr double kLoadWeight = 1.0;
+    static constexpr double kDomainWeight = 0.05;
+    static constexpr double kShareWeight = 0.5;
+
+    [[nodiscard]] static auto scoreOf(const Candidate &candidate) -> double
+    {
+        return kCacheWeight * candidate.cached - kLoadWeight * candidate.load
+               + (candidate.sameDomain ? kDomainWeight : 0.0)
+               - kShareWeight * (1.0 - candidate.share);
+    }
+};
+
+} // namespace heathergate::routing
--- /dev/null
+++ b/libs/routing/include/heathergate/routing/prefix_index.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <heathergate/core/core.h>
+
+#include <list>
+#include <unordered_map>
+
+namespace heathergate::routing {
+
+/// Hashes of a prompt's prefixes, shortest first, each with the tokens it covers.
+struct PromptPrefixes
+{
+    struct Prefix
+    {
+        std::uint64_t hash = 0;
+        std::int64_t tokens = 0;
+    };
+
+    std::vector<Prefix> prefixes;
+
+    [[nodiscard]] auto totalTokens() const -> std::int64_t
+    {
+        return prefixes.empty() ? 0 : prefixes.back().tokens;
+    }
+};
+
+/// Estimate of the prompt prefixes that one upstream's cache holds, from what was sent there and
+/// from its own, possibly late or incomplete, cache events. The least recently used go first.
+class PrefixIndex
+{
+public:
+    explicit PrefixIndex(std::int64_t capacityTokens)
+        : m_capacity(capacityTokens)
+    {
+    }
+
+    /// Notes that the upstream processed this prompt.
+    void touch(const PromptPrefixes &prompt);
+    /// Notes that the upstream evicted the prefix with this hash.
+    void evict(std::uint64_t hash);
+    /// Returns how many tokens of the prompt the cache is estimated to hold.
+    [[nodiscard]] auto cachedTokens(const PromptPrefixes &prompt) const -> std::int64_t;
+
+private:
+    struct Item
+    {
+        std::uint64_t hash = 0;
+        std::int64_t tokens = 0;
+    };
+
+    void remove(std::list<Item>::iterator item);
+
+    std::int64_t m_capacity;
+    std::int64_t m_used = 0;
+    std::list<Item> m_items;
+    std::unordered_map<std::uint64_t, std::list<Item>::iterator> m_byHash;
+};
+
+} // namespace heathergate::routing
--- /dev/null
+++ b/libs/routing/include/heathergate/routing/retry_budget.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <heathergate/core/core.h>
+
+#include <algorithm>
+
+namespace heathergate::routing {
+
+/// Limits retries to a fraction of first attempts. As every instance keeps to it, so does the
+/// fleet as a whole.
+class RetryBudget
+{
+public:
+    /// Counts a first attempt.
+    void deposit()
+    {
+        m_balance = std::min(kMost, m_balance + kFraction);
+    }
+
+    /// Takes one retry. Returns false if the budget is used up.
+    [[nodiscard]] auto withdraw() -> bool
+    {
+        if (m_balance < 1.0)
+            return false;
+        m_balance -= 1.0;
+        return true;
+    }
+
+private:
+    static constexpr double kFraction = 0.1;
+    static constexpr double kMost = 20.0;
+
+    double m_balance = kMost;
+};
+
+/// Returns the pause before retry number `retry` (from 1): exponential, with full jitter.
+[[nodiscard]] inline auto backoff(int retry, Random &random) -> Duration
+{
+    constexpr Duration kFirst = std::chrono::milliseconds(25);
+    constexpr int kMaxDoublings = 6;
+    const auto ceiling = kFirst * (1 << std::min(retry - 1, kMaxDoublings));
+    return Duration(static_cast<std::int64_t>(
+        random.below(static_cast<std::uint64_t>(ceiling.count()))));
+}
+
+} // namespace heathergate::routing
--- /dev/null
+++ b/libs/routing/include/heathergate/routing/router.h
@@ -0,0 +1,237 @@
+#pragma once
+
+#include <heathergate/routing/health.h>
+#include <heathergate/routing/policies.h>
+#include <heathergate/routing/prefix_index.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace heathergate::routing {
+
+/// An upstream that can be routed to.
+struct Target
+{
+    UpstreamId id;
+    std::uint64_t incarnation = 0;
+    FailureDomainId domain;
+    /// Names under which requests ask for it: "model:NAME" or "service:NAME".
+    std::vector<std::string> lanes;
+    int slots = 1;
+    std::int64_t cacheTokens = 0;
+    bool draining = false;
+};
+
+/// What a request needs.
+struct RouteQuery
+{
+    std::string lane;
+    PromptPrefixes prompt;
+    /// Upstreams that hold the program's memory.
+    std::vector<UpstreamId> holders;
+    /// Upstreams that failed this request before.
+    std::set<UpstreamId> excluded;
+    /// Names a home among the lane's upstreams that all instances agree on; 0 names none.
+    std::uint64_t affinity = 0;
+};
+
+/// Chooses upstreams by a policy, with loads estimated from lagging reports and own dispatches.
+template <typename Policy>
+class Router
+{
+public:
+    explicit Router(FailureDomainId ownDomain)
+        : m_ownDomain(std::move(ownDomain))
+    {
+    }
+
+    /// Replaces the list of targets; what is known of an incarnation that stays is kept.
+    void setTargets(const std::vector<Target> &targets)
+    {
+        std::unordered_map<UpstreamId, State> kept;
+        m_lanes.clear();
+        for (const auto &target : targets) {
+            const auto known = m_states.find(target.id);
+            const auto same = known != m_states.end()
+                              && known->second.target.incarnation == target.incarnation;
+            auto state = same ? std::move(known->second) : State(target);
+            state.target = target;
+            kept.emplace(target.id, std::move(state));
+        }
+        m_states = std::move(kept);
+        for (auto &[id, state] : m_states)
+            addToLanes(state);
+        const auto byId = [](const State *left, const State *right) {
+            return left->target.id < right->target.id;
+        };
+        for (auto &[lane, members] : m_lanes)
+            std::sort(members.begin(), members.end(), byId);
+    }
+
+    /// Takes in a load report: requests running and queued there, of all instances.
+    void reportLoad(TimePoint now, const UpstreamId &id, int requests)
+    {
+        if (auto *state = find(id)) {
+            state->reported = requests;
+            state->sentSinceReport = 0;
+            state->reportedAt = now;
+        }
+    }
+
+    /// Returns the upstream for a request; nothing if none has room.
+    [[nodiscard]] auto choose(TimePoint now, const RouteQuery &query, Random &random)
+        -> std::optional<UpstreamId>
+    {
+        const auto lane = m_lanes.find(query.lane);
+        if (lane == m_lanes.end() || lane->second.empty())
+            return std::nullopt;
+        const auto &members = lane->second;
+        const auto home = query.affinity == 0 ? members.size() : query.affinity % members.size();
+        const auto inspect = [&](std::size_t index) {
+            auto candidate = describe(now, *members[index], query);
+            if (index == home)
+                candidate.cached = std::max(candidate.cached, kHomeCached);
+            return candidate;
+        };
+        auto hints = hintsFor(members, query.holders);
+        if (home < members.size())
+            hints.push_back(home);
+        const auto chosen = m_policy.pick(members.size(), inspect, hints, random);
+        if (chosen >= members.size())
+            return std::nullopt;
+        return members[chosen]->target.id;
+    }
+
+    /// Returns whether any upstream, busy or not, serves the lane.
+    [[nodiscard]] auto serves(const std::string &lane) const -> bool
+    {
+        const auto found = m_lanes.find(lane);
+        return found != m_lanes.end() && !found->second.empty();
+    }
+
+    /// Notes that a request was sent.
+    void dispatched(const UpstreamId &id, const PromptPrefixes &prompt)
+    {
+        if (auto *state = find(id)) {
+            ++state->inFlight;
+            ++state->sentSinceReport;
+            state->prefixes.touch(prompt);
+        }
+    }
+
+    /// Notes that a request has ended, and how.
+    void finished(TimePoint now, const UpstreamId &id, std::uint64_t incarnation, bool success)
+    {
+        auto *state = find(id);
+        if (state == nullptr || state->target.incarnation != incarnation)
+            return;
+        state->inFlight = std::max(0, state->inFlight - 1);
+        if (success)
+            state->health.succeeded(now);
+        else
+            state->health.failed(now);
+    }
+
+    /// Notes a cache event: the upstream evicted a prefix.
+    void evicted(const UpstreamId &id, std::uint64_t hash)
+    {
+        if (auto *state = find(id))
+            state->prefixes.evict(hash);
+    }
+
+    /// Returns the target record; null if it is not known.
+    [[nodiscard]] auto target(const UpstreamId &id) const -> const Target *
+    {
+        const auto found = m_states.find(id);
+        return found == m_states.end() ? nullptr : &found->second.target;
+    }
+
+    /// Returns this instance's requests at an upstream.
+    [[nodiscard]] auto inFlight(const UpstreamId &id) const -> int
+    {
+        const auto found = m_states.find(id);
+        return found == m_states.end() ? 0 : found->second.inFlight;
+    }
+
+private:
+    struct State
+    {
+        explicit State(const Target &of)
+            : target(of)
+            , prefixes(of.cacheTokens)
+        {
+        }
+
+        Target target;
+        PrefixIndex prefixes;
+        Health health;
+        int inFlight = 0;
+        int reported = 0;
+        int sentSinceReport = 0;
+        TimePoint reportedAt{};
+        std::size_t position = 0;
+    };
+
+    /// What an upstream counts as holding of a program that calls it its home.
+    static constexpr double kHomeCached = 0.3;
+    static constexpr Duration kReportTrust = std::chrono::seconds(5);
+
+    [[nodiscard]] auto find(const UpstreamId &id) -> State *
+    {
+        const auto found = m_states.find(id);
+        return found == m_states.end() ? nullptr : &found->second;
+    }
+
+    void addToLanes(State &state)
+    {
+        if (state.target.draining)
+            return;
+        for (const auto &lane : state.target.lanes)
+            m_lanes[lane].push_back(&state);
+    }
+
+    [[nodiscard]] auto hintsFor(const std::vector<State *> &members,
+                                const std::vector<UpstreamId> &holders) -> std::vector<std::size_t>
+    {
+        std::vector<std::size_t> hints;
+        for (const auto &holder : holders) {
+            auto *state = find(holder);
+            if (state == nullptr)
+                continue;
+            const auto found = std::find(members.begin(), members.end(), state);
+            if (found != members.end())
+                hints.push_back(static_cast<std::size_t>(found - members.begin()));
+        }
+        return hints;
+    }
+
+    [[nodiscard]] auto describe(TimePoint now, const State &state, const RouteQuery &query) const
+        -> Candidate
+    {
+        Candidate candidate;
+        const auto slots = std::max(1, state.target.slots);
+        const auto trusted = now - state.reportedAt < kReportTrust;
+        const auto estimate
+            = trusted ? std::max(state.inFlight, state.reported + state.sentSinceReport)
+                      : state.inFlight;
+        candidate.load = static_cast<double>(estimate + 1) / slots;
+        if (query.excluded.contains(state.target.id) || !state.health.isAvailable(now))
+            candidate.load = std::numeric_limits<double>::infinity();
+        const auto total = query.prompt.totalTokens();
+        if (total > 0)
+            candidate.cached
+                = static_cast<double>(state.prefixes.cachedTokens(query.prompt)) / total;
+        candidate.sameDomain = state.target.domain == m_ownDomain;
+        candidate.share = state.health.share(now);
+        return candidate;
+    }
+
+    FailureDomainId m_ownDomain;
+    Policy m_policy;
+    std::unordered_map<UpstreamId, State> m_states;
+    std::map<std::string, std::vector<State *>> m_lanes;
+};
+
+} // namespace heathergate::routing
--- /dev/null
+++ b/libs/routing/src/health.cpp
@@ -0,0 +1,42 @@
+#include <heathergate/routing/health.h>
+
+#include <algorithm>
+
+namespace heathergate::routing {
+
+namespace {
+
+constexpr int kFailuresToEject = 3;
+constexpr int kMaxDoublings = 5;
+constexpr Duration kFirstEjection = std::chrono::seconds(1);
+constexpr Duration kSlowStart = std::chrono::seconds(10);
+constexpr double kLeastShare = 0.1;
+
+} // namespace
+
+void Health::succeeded(TimePoint now)
+{
+    m_failures = 0;
+    if (now > m_ejectedUntil + kSlowStart)
+        m_ejections = 0;
+}
+
+void Health::failed(TimePoint now)
+{
+    if (++m_failures < kFailuresToEject)
+        return;
+    m_failures = kFailuresToEject - 1;
+    m_ejectedUntil = now + kFirstEjection * (1 << std::min(m_ejections, kMaxDoublings));
+    ++m_ejections;
+}
+
+auto Health::share(TimePoint now) const -> double
+{
+    if (m_ejections == 0)
+        return 1.0;
+    const auto elapsed = std::chrono::duration<double>(now - m_ejectedUntil)
+                         / std::chrono::duration<double>(kSlowStart);
+    return std::clamp(elapsed, kLeastShare, 1.0);
+}
+
+} // namespace heathergate::routing
--- /dev/null
+++ b/libs/routing/src/work_queue.cpp
@@ -0,0 +1,125 @@
+#include <heathergate/routing/work_queue.h>
+
+#include <algorithm>
+
+namespace heathergate::routing {
+
+namespace {
+
+/// Attained service, in tokens, that one second of waiting makes up for.
+constexpr double kAgingTokensPerSecond = 500;
+
+auto rank(const WorkItem &item, TimePoint now) -> double
+{
+    const auto waited = std::chrono::duration<double>(now - item.arrivedAt).count();
+    return item.attained - waited * kAgingTokensPerSecond;
+}
+
+} // namespace
+
+auto WorkQueue::push(const WorkItem &item) -> bool
+{
+    if (m_size >= m_capacity)
+        return false;
+    auto &group = m_classes[item.priority];
+    auto &queue = group.customers[item.customer];
+    // A customer that was idle starts at the class's present, without credit for the past.
+    if (queue.items.empty())
+        queue.virtualTime = std::max(queue.virtualTime, group.virtualTime);
+    queue.items.push_back(item);
+    ++group.waiting;
+    ++m_size;
+    return true;
+}
+
+auto WorkQueue::pop(TimePoint now) -> std::optional<WorkItem>
+{
+    const auto group = std::find_if(m_classes.begin(), m_classes.end(),
+                                    [](const auto &entry) { return entry.second.waiting > 0; });
+    if (group == m_classes.end())
+        return std::nullopt;
+    CustomerQueue *chosen = nullptr;
+    for (auto &[customer, queue] : group->second.customers) {
+        if (!queue.items.empty()
+            && (chosen == nullptr || queue.virtualTime < chosen->virtualTime))
+            chosen = &queue;
+    }
+    const auto index = nextItem(*chosen, now);
+    const auto item = chosen->items[index];
+    chosen->items.erase(chosen->items.begin() + static_cast<std::ptrdiff_t>(index));
+    group->second.virtualTime = std::max(group->second.virtualTime, chosen->virtualTime);
+    chosen->virtualTime += item.cost / item.weight;
+    --group->second.waiting;
+    --m_size;
+    return item;
+}
+
+void WorkQueue::putBack(const WorkItem &item)
+{
+    auto &group = m_classes[item.priority];
+    auto &queue = group.customers[item.customer];
+    queue.items.push_back(item);
+    queue.virtualTime -= item.cost / item.weight;
+    ++group.waiting;
+    ++m_size;
+}
+
+auto WorkQueue::remove(std::uint64_t request) -> bool
+{
+    for (auto &[priority, group] : m_classes) {
+        for (auto &[customer, queue] : group.customers) {
+            const auto removed = std::erase_if(
+                queue.items, [&](const WorkItem &item) { return item.request == request; });
+            group.waiting -= removed;
+            m_size -= removed;
+            if (removed > 0)
+                return true;
+        }
+    }
+    return false;
+}
+
+auto WorkQueue::takeExpired(TimePoint now) -> std::vector<WorkItem>
+{
+    std::vector<WorkItem> expired;
+    for (auto &[priority, group] : m_classes) {
+        for (auto &[customer, queue] : group.customers) {
+            const auto late = std::stable_partition(
+                queue.items.begin(), queue.items.end(),
+                [now](const WorkItem &item) { return now < item.deadline; });
+            group.waiting -= static_cast<std::size_t>(queue.items.end() - late);
+            m_size -= static_cast<std::size_t>(queue.items.end() - late);
+            expired.insert(expired.end(), late, queue.items.end());
+            queue.items.erase(late, queue.items.end());
+        }
+    }
+    return expired;
+}
+
+void WorkQueue::charge(const CustomerId &customer, int priority, double weight, double difference)
+{
+    m_classes[priority].customers[customer].virtualTime += difference / weight;
+}
+
+auto WorkQueue::nextDeadline() const -> TimePoint
+{
+    auto next = TimePoint::max();
+    for (const auto &[priority, group] : m_classes) {
+        for (const auto &[customer, queue] : group.customers) {
+            for (const auto &item : queue.items)
+                next = std::min(next, item.deadline);
+        }
+    }
+    return next;
+}
+
+auto WorkQueue::nextItem(const CustomerQueue &queue, TimePoint now) -> std::size_t
+{
+    const auto best = std::min_element(queue.items.begin(), queue.items.end(),
+                                       [now](const WorkItem &left, const WorkItem &right) {
+                                           return rank(left, now) < rank(right, now);
+                                       });
+    return static_cast<std::size_t>(best - queue.items.begin());
+}
+
+} // namespace heathergate::routing
--- /dev/null
+++ b/libs/telemetry/include/heathergate/telemetry/metrics.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <heathergate/core/core.h>
+#include <heathergate/telemetry/internal/bucket_counts.h>
+
+#include <map>
+
+namespace heathergate::telemetry {
+
+/// Label names and values of a time series.
+using Labels = std::map<std::string, std::string>;
+
+/// Metrics of one instance, used by one thread. Histograms are Boost.Accumulators sets.
+class Metrics
+{
+public:
+    /// Adds to a counter.
+    void count(const std::string &name, const Labels &labels, double amount = 1);
+    /// Sets a gauge.
+    void set(const std::string &name, const Labels &labels, double value);
+    /// Adds a time to a histogram, in seconds.
+    void observe(const std::string &name, const Labels &labels, Duration value);
+
+    /// Returns all metrics in the Prometheus text format.
+    [[nodiscard]] auto render() const -> std::string;
+
+private:
+    using Series = std::string;
+
+    [[nodiscard]] static auto seriesOf(const Labels &labels) -> Series;
+
+    std::map<std::string, std::map<Series, double>> m_counters;
+    std::map<std::string, std::map<Series, double>> m_gauges;
+    std::map<std::string, std::map<Series, internal::HistogramSet>> m_histograms;
+};
+
+} // namespace heathergate::telemetry
--- /dev/null
+++ b/libs/testing/include/heathergate/testing/fake_files.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <heathergate/log/file_layer.h>
+
+#include <map>
+#include <optional>
+
+namespace heathergate::testing {
+
+/// A file layer in memory that loses everything not synced when `crash` is called.
+class FakeFiles
+{
+public:
+    [[nodiscard]] auto list() -> Result<std::vector<std::string>>
+    {
+        std::vector<std::string> names;
+        for (const auto &[name, content] : m_files)
+            names.push_back(name);
+        return names;
+    }
+
+    [[nodiscard]] auto read(const std::string &name) -> Result<std::string>
+    {
+        const auto file = m_files.find(name);
+        if (file == m_files.end())
+            return fail(Code::DiskFailed, "no file " + name);
+        return file->second.content;
+    }
+
+    [[nodiscard]] auto append(const std::string &name, std::string_view bytes) -> Result<void>
+    {
+        if (m_spaceLeft && bytes.size() > *m_spaceLeft)
+            return fail(Code::DiskFull, "the fake disk is full");
+        if (m_spaceLeft)
+            *m_spaceLeft -= bytes.size();
+        m_files[name].content.append(bytes);
+        return {};
+    }
+
+    [[nodiscard]] auto truncate(const std::string &name, std::uint64_t size) -> Result<void>
+    {
+        m_files[name].content.resize(size);
+        return {};
+    }
+
+    [[nodiscard]] auto sync(const std::string &name) -> Result<void>
+    {
+        ++m_syncs;
+        m_files[name].synced = m_files[name].content;
+        return {};
+    }
+
+    [[nodiscard]] auto remove(const std::string &name) -> Result<void>
+    {
+        m_files.erase(name);
+        return {};
+    }
+
+    [[nodiscard]] auto rename(const std::string &from, const std::string &to) -> Result<void>
+    {
+        m_files[to] = m_files[from];
+        m_files.erase(from);
+        return {};
+    }
+
+    [[nodiscard]] auto syncFolder() -> Result<void>
+    {
+        m_durable.clear();
+        for (const auto &[name, file] : m_files)
+            m_durable[name] = file.synced;
+        return {};
+    }
+
+    /// Loses every byte and every name that was not synced, but for the first `kept` bytes of the
+    /// unsynced tail of each file.
+    void crash(std::size_t kept = 0)
+    {
+        std::map<std::string, File> left;
+        for (auto &[name, durable] : m_durable) {
+            const auto now = m_files.find(name);
+            auto content = now == m_files.end() ? durable : now->second.synced;
+            if (now != m_files.end() && now->second.content.size() > content.size()
+                && now->second.content.starts_with(content))
+                content = now->second.content.substr(0, content.size() + kept);
+            left[name] = File{content, content};
+        }
+        m_files = std::move(left);
+    }
+
+    /// Limits the bytes that can still be appended; nothing lifts the limit.
+    void setSpaceLeft(std::optional<std::size_t> bytes)
+    {
+        m_spaceLeft = bytes;
+    }
+
+    /// Returns how many times a file was synced.
+    [[nodiscard]] auto syncs() const -> int
+    {
+        return m_syncs;
+    }
+
+    /// Returns the content of a file, so that a test can damage it.
+    [[nodiscard]] auto content(const std::string &name) -> std::string &
+    {
+        return m_files[name].content;
+    }
+
+private:
+    struct File
+    {
+        std::string content;
+        std::string synced;
+    };
+
+    std::map<std::string, File> m_files;
+    std::map<std::string, std::string> m_durable;
+    std::optional<std::size_t> m_spaceLeft;
+    int m_syncs = 0;
+};
+
+static_assert(log::FileLayer<FakeFiles>);
+
+} // namespace heathergate::testing
--- /dev/null
+++ b/libs/testing/src/main/test_main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE heathergate
+#include <boost/test/unit_test.hpp>
