--- a/apps/heathergate/fake_upstream.cpp
+++ b/apps/heathergate/fake_upstream.cpp
@@ -40,15 +40,15 @@
         "cache-tokens", po::value<int>()->default_value(100'000), "Size of the prompt cache")(
         "answer-tokens", po::value<int>()->default_value(64), "Longest answer")(
         "service-ms", po::value<int>()->default_value(5), "Time a service call takes")(
-        "die-on", po::value<std::string>()->default_value(""), "Dies on a request holding this")(
-        "cut-on", po::value<std::string>()->default_value(""),
-        "Cuts the answer to a request holding this half-way")(
+        "die-on", po::value<std::string>()->default_value(""),
+        "Dies on a request holding this")("cut-on", po::value<std::string>()->default_value(""),
+                                          "Cuts the answer to a request holding this half-way")(
         "silent-on", po::value<std::string>()->default_value(""),
-        "Never answers a request holding this")(
-        "late-on", po::value<std::string>()->default_value(""),
-        "Answers a request holding this late")("late-ms", po::value<int>()->default_value(2000),
-                                               "How late")(
-        "checks-fencing", "Refuses orders that carry an old fencing number")(
+        "Never answers a request holding this")("late-on",
+                                                po::value<std::string>()->default_value(""),
+                                                "Answers a request holding this late")(
+        "late-ms", po::value<int>()->default_value(2000),
+        "How late")("checks-fencing", "Refuses orders that carry an old fencing number")(
         "forget-releases", "Loses the first order to release each program");
 }
 
@@ -96,7 +96,9 @@
     if (const auto endpoint = daemon::parseEndpoint(settings.address); !endpoint)
         return report("--address: " + endpoint.error().detail);
     telemetry::startLogging(telemetry::LogLevel::Info, settings.id);
-    struct sigaction action{};
+    struct sigaction action
+    {
+    };
     action.sa_handler = [](int) { stopRequested = true; };
     sigaction(SIGTERM, &action, nullptr);
     sigaction(SIGINT, &action, nullptr);
--- a/apps/heathergate/fake_upstream.h
+++ b/apps/heathergate/fake_upstream.h
@@ -68,7 +68,8 @@
     void post(const std::string &path, const nlohmann::json &body);
     void announceEvent(const http::ClientEvent &event);
     void leave();
-    [[nodiscard]] auto isFaulty(const std::string &marker, const std::string &content) const -> bool;
+    [[nodiscard]] auto isFaulty(const std::string &marker, const std::string &content) const
+        -> bool;
 
     FakeUpstreamSettings m_settings;
     std::string m_bootId;
--- a/apps/heathergate/fake_upstream_server.cpp
+++ b/apps/heathergate/fake_upstream_server.cpp
@@ -195,17 +195,16 @@
 
 void FakeUpstream::statistics(http::Token token)
 {
-    m_server->respond(token,
-                      daemon::jsonResponse({{"id", m_settings.id},
-                                            {"calls", m_calls},
-                                            {"requests", m_lastRequest},
-                                            {"runs", m_runs},
-                                            {"header_names", m_headerNames},
-                                            {"header_values", m_headerValues},
-                                            {"programs", m_engine.programs()},
-                                            {"computed_prompt_tokens",
-                                             m_engine.computedPromptTokens()},
-                                            {"orders", m_orders}}));
+    m_server->respond(
+        token, daemon::jsonResponse({{"id", m_settings.id},
+                                     {"calls", m_calls},
+                                     {"requests", m_lastRequest},
+                                     {"runs", m_runs},
+                                     {"header_names", m_headerNames},
+                                     {"header_values", m_headerValues},
+                                     {"programs", m_engine.programs()},
+                                     {"computed_prompt_tokens", m_engine.computedPromptTokens()},
+                                     {"orders", m_orders}}));
 }
 
 void FakeUpstream::produce()
--- a/apps/heathergate/operator_client.cpp
+++ b/apps/heathergate/operator_client.cpp
@@ -32,8 +32,7 @@
                  "URL of an instance, e.g. http://127.0.0.1:8001 (default: $HEATHERGATE_ADDRESS)")(
         "edit-id", po::value<std::string>()->default_value(""),
         "Names the edit, so that a resend after a lost answer is harmless")(
-        "ca-file", po::value<std::string>()->default_value(""),
-        "Certificates to trust, for https");
+        "ca-file", po::value<std::string>()->default_value(""), "Certificates to trust, for https");
 }
 
 OperatorClient::OperatorClient(const po::variables_map &values)
--- a/apps/heathergate/operator_commands.cpp
+++ b/apps/heathergate/operator_commands.cpp
@@ -93,10 +93,10 @@
         "revision", po::value<std::uint64_t>()->default_value(0),
         "Number the row was read under; 0 for a new row")("rate", po::value<double>(),
                                                           "Requests a second")(
-        "burst", po::value<double>(), "Requests at once")(
-        "budget", po::value<std::int64_t>(), "Tokens a program may use")(
-        "priority", po::value<std::int64_t>(), "Class, 0 goes first")(
-        "weight", po::value<double>(), "Share inside the class");
+        "burst", po::value<double>(), "Requests at once")("budget", po::value<std::int64_t>(),
+                                                          "Tokens a program may use")(
+        "priority", po::value<std::int64_t>(), "Class, 0 goes first")("weight", po::value<double>(),
+                                                                      "Share inside the class");
     const auto call = parseCall(parser, arguments);
     if (!call)
         return parser.status();
@@ -121,9 +121,9 @@
 
 auto runKey(const Arguments &arguments) -> int
 {
-    const std::string usage
-        = "key new --hash-secret SECRET | give --customer NAME | give --operator NAME | list | "
-          "withdraw ID";
+    const std::string usage =
+        "key new --hash-secret SECRET | give --customer NAME | give --operator NAME | list | "
+        "withdraw ID";
     OptionParser parser(usage, "Makes the first operator's key; gives, lists and withdraws keys.");
     parser.add()("hash-secret", po::value<std::string>()->default_value(""),
                  "The hash_secret of the settings")("customer", po::value<std::string>(),
@@ -151,8 +151,8 @@
 
 auto runUpstream(const Arguments &arguments) -> int
 {
-    const std::string usage
-        = "upstream list | drain ID | undrain ID | order ID ACTION [ARGUMENT] | orders";
+    const std::string usage =
+        "upstream list | drain ID | undrain ID | order ID ACTION [ARGUMENT] | orders";
     OptionParser parser(usage, "Lists and drains upstreams, gives them orders.");
     const auto call = parseCall(parser, arguments);
     if (!call)
@@ -177,8 +177,8 @@
 
 auto runProgram(const Arguments &arguments) -> int
 {
-    const std::string usage
-        = "program show CUSTOMER ID | settle CUSTOMER ID CALL (ran|not-run) [ANSWER]";
+    const std::string usage =
+        "program show CUSTOMER ID | settle CUSTOMER ID CALL (ran|not-run) [ANSWER]";
     OptionParser parser(usage, "Shows a program with its history; settles a call whose outcome is "
                                "unknown.");
     const auto call = parseCall(parser, arguments);
@@ -188,8 +188,8 @@
     const OperatorClient client(call->values);
     if (words.size() == 3 && words[0] == "show")
         return client.sendAndPrint("GET", path("programs/" + words[1] + "/" + words[2]));
-    const auto settles = words.size() >= 5 && words[0] == "settle"
-                         && (words[4] == "ran" || words[4] == "not-run");
+    const auto settles =
+        words.size() >= 5 && words[0] == "settle" && (words[4] == "ran" || words[4] == "not-run");
     if (settles) {
         const nlohmann::json body{{"customer", words[1]},
                                   {"program", words[2]},
--- a/apps/heathergate/options.cpp
+++ b/apps/heathergate/options.cpp
@@ -17,11 +17,9 @@
 {
     try {
         po::variables_map values;
-        po::store(po::command_line_parser(arguments)
-                      .options(m_options)
-                      .positional(m_positional)
-                      .run(),
-                  values);
+        po::store(
+            po::command_line_parser(arguments).options(m_options).positional(m_positional).run(),
+            values);
         if (values.count("help") > 0) {
             std::cout << m_usage << '\n' << m_options;
             m_status = 0;
--- a/libs/consensus/src/election.cpp
+++ b/libs/consensus/src/election.cpp
@@ -62,8 +62,8 @@
     if (request.term > m_hardState.term)
         becomeFollower(now, request.term, std::nullopt);
     const auto free = m_hardState.vote.empty() || m_hardState.vote == from;
-    const auto granted = request.term == m_hardState.term && free && upToDate
-                         && m_configuration.isVoter(m_self);
+    const auto granted =
+        request.term == m_hardState.term && free && upToDate && m_configuration.isVoter(m_self);
     if (granted && m_hardState.vote.empty()) {
         m_hardState.vote = from;
         writeHardState();
@@ -79,8 +79,9 @@
         becomeFollower(now, reply.term, std::nullopt);
         return;
     }
-    const auto awaited = reply.preVote ? m_preVoting && reply.term == m_hardState.term + 1
-                                       : m_role == Role::Candidate && reply.term == m_hardState.term;
+    const auto awaited = reply.preVote
+                             ? m_preVoting && reply.term == m_hardState.term + 1
+                             : m_role == Role::Candidate && reply.term == m_hardState.term;
     if (!awaited || !reply.granted || !m_configuration.isVoter(from))
         return;
     m_votes.insert(from);
@@ -134,8 +135,8 @@
 void Replica::resetElectionTimer(TimePoint now)
 {
     const auto spread = static_cast<std::uint64_t>(m_settings.electionTimeout.count());
-    m_electionDeadline
-        = now + m_settings.electionTimeout + Duration(static_cast<std::int64_t>(m_random.below(spread)));
+    m_electionDeadline = now + m_settings.electionTimeout
+                         + Duration(static_cast<std::int64_t>(m_random.below(spread)));
 }
 
 auto Replica::hearsLeader(TimePoint now) const -> bool
--- a/libs/consensus/src/replica.cpp
+++ b/libs/consensus/src/replica.cpp
@@ -39,8 +39,7 @@
 {
     if (envelope.to != m_self)
         return;
-    std::visit([&](const auto &message) { handle(now, envelope.from, message); },
-               envelope.message);
+    std::visit([&](const auto &message) { handle(now, envelope.from, message); }, envelope.message);
 }
 
 void Replica::tick(TimePoint now)
--- a/libs/consensus/src/replication.cpp
+++ b/libs/consensus/src/replication.cpp
@@ -18,8 +18,8 @@
     const auto beforeSnapshot = request.previousIndex < m_log.firstIndex() - 1;
     if (!beforeSnapshot && (!known || *known != request.previousTerm)) {
         // Everything committed agrees, so the leader need not go back further than that.
-        const auto hint = std::max(m_commit, std::min(m_log.lastIndex(),
-                                                      request.previousIndex - 1));
+        const auto hint =
+            std::max(m_commit, std::min(m_log.lastIndex(), request.previousIndex - 1));
         send(from, AppendReply{m_hardState.term, false, hint, request.round});
         return;
     }
@@ -27,8 +27,7 @@
     const auto last = request.previousIndex + request.entries.size();
     m_verified = std::max(m_verified, std::max(last, m_commit));
     commitUpTo(std::min(request.commit, m_verified));
-    send(from, AppendReply{m_hardState.term, true, std::min(m_durable, m_verified),
-                           request.round});
+    send(from, AppendReply{m_hardState.term, true, std::min(m_durable, m_verified), request.round});
 }
 
 void Replica::acceptEntries(const std::vector<Entry> &entries)
@@ -155,8 +154,7 @@
         m_effects.committed.push_back(m_log.at(m_commit));
     }
     const auto removed = m_role == Role::Leader && !m_configuration.isVoter(m_self)
-                         && !m_configurations.empty()
-                         && m_configurations.back().index <= m_commit;
+                         && !m_configurations.empty() && m_configurations.back().index <= m_commit;
     if (removed) {
         m_role = Role::Follower;
         m_leader.reset();
--- a/libs/consensus/src/snapshot_transfer.cpp
+++ b/libs/consensus/src/snapshot_transfer.cpp
@@ -36,8 +36,7 @@
     resetElectionTimer(now);
     if (piece.meta.index <= m_commit) {
         m_verified = std::max(m_verified, m_commit);
-        send(from, AppendReply{m_hardState.term, true, std::min(m_durable, m_commit),
-                               piece.round});
+        send(from, AppendReply{m_hardState.term, true, std::min(m_durable, m_commit), piece.round});
         return;
     }
     // The digest lets a transfer go on after a change of leader, and only if the new leader's
--- a/libs/control/include/heathergate/control/commands.h
+++ b/libs/control/include/heathergate/control/commands.h
@@ -153,10 +153,10 @@
 };
 
 /// New alternatives are added at the end only: positions are part of the stored format.
-using ControlCommand
-    = std::variant<EditRow, GiveKey, WithdrawKey, AnnounceUpstream, RemoveUpstream, DrainUpstream,
-                   JoinInstance, DrainInstance, RemoveInstance, ClaimDuty, GiveOrder, SettleOrder,
-                   ReportCrash, ClearSuspect, StartReplacement, EndReplacement>;
+using ControlCommand =
+    std::variant<EditRow, GiveKey, WithdrawKey, AnnounceUpstream, RemoveUpstream, DrainUpstream,
+                 JoinInstance, DrainInstance, RemoveInstance, ClaimDuty, GiveOrder, SettleOrder,
+                 ReportCrash, ClearSuspect, StartReplacement, EndReplacement>;
 
 /// What applying a command came to.
 struct ControlOutcome
--- a/libs/control/src/control_state.cpp
+++ b/libs/control/src/control_state.cpp
@@ -88,8 +88,8 @@
 
 auto ControlState::applyOne(const WithdrawKey &withdraw) -> ControlOutcome
 {
-    const auto removed = std::erase_if(
-        m_keys, [&](const auto &item) { return item.second.id == withdraw.id; });
+    const auto removed =
+        std::erase_if(m_keys, [&](const auto &item) { return item.second.id == withdraw.id; });
     if (removed == 0)
         return refused(Code::UnknownKey, "no key " + withdraw.id.value);
     return accepted();
@@ -188,8 +188,8 @@
         return refused(Code::UnknownUpstream, "no upstream " + order.upstream.value);
     auto outcome = accepted();
     outcome.number = m_revision;
-    m_orders[m_revision]
-        = OrderRecord{m_revision, order.upstream, order.action, order.argument, OrderState::Pending};
+    m_orders[m_revision] =
+        OrderRecord{m_revision, order.upstream, order.action, order.argument, OrderState::Pending};
     while (m_orders.size() > kRememberedOrders)
         m_orders.erase(m_orders.begin());
     return outcome;
@@ -273,16 +273,11 @@
 
 void to_json(nlohmann::json &json, const ControlState &state)
 {
-    json = {{"revision", state.m_revision},
-            {"time", state.m_time},
-            {"rows", state.m_rows},
-            {"keys", state.m_keys},
-            {"upstreams", state.m_upstreams},
-            {"instances", state.m_instances},
-            {"duties", state.m_duties},
-            {"orders", state.m_orders},
-            {"suspects", state.m_suspects},
-            {"replacements", state.m_replacements},
+    json = {{"revision", state.m_revision},   {"time", state.m_time},
+            {"rows", state.m_rows},           {"keys", state.m_keys},
+            {"upstreams", state.m_upstreams}, {"instances", state.m_instances},
+            {"duties", state.m_duties},       {"orders", state.m_orders},
+            {"suspects", state.m_suspects},   {"replacements", state.m_replacements},
             {"edits", state.m_edits}};
 }
 
--- a/libs/control/src/table_csv.cpp
+++ b/libs/control/src/table_csv.cpp
@@ -120,9 +120,8 @@
     out << "customer,rate,burst,budget,priority,weight,revision\r\n";
     for (const auto &[customer, row] : rows) {
         out << quoted(customer.value) << ',' << shortest(row.values.rate) << ','
-            << shortest(row.values.burst) << ',' << row.values.budget << ','
-            << row.values.priority << ',' << shortest(row.values.weight) << ',' << row.revision
-            << "\r\n";
+            << shortest(row.values.burst) << ',' << row.values.budget << ',' << row.values.priority
+            << ',' << shortest(row.values.weight) << ',' << row.revision << "\r\n";
     }
     return out.str();
 }
@@ -135,8 +134,9 @@
     const auto lines = splitCells(text);
     if (!lines)
         return tl::unexpected(lines.error());
-    if (lines->empty() || !std::equal(kColumns.begin(), kColumns.end(), lines->front().begin(),
-                                      lines->front().end()))
+    if (lines->empty()
+        || !std::equal(kColumns.begin(), kColumns.end(), lines->front().begin(),
+                       lines->front().end()))
         return atLine(1, "must be customer,rate,burst,budget,priority,weight,revision");
     std::vector<TableRow> rows;
     std::set<CustomerId> seen;
--- a/libs/core/include/heathergate/core/codec.h
+++ b/libs/core/include/heathergate/core/codec.h
@@ -3,8 +3,8 @@
 #include <heathergate/core/result.h>
 
 #include <nlohmann/json.hpp>
-#include <string>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <variant>
 
--- a/libs/core/include/heathergate/core/time.h
+++ b/libs/core/include/heathergate/core/time.h
@@ -43,8 +43,11 @@
 
 /// A source of the current time.
 template <typename T>
-concept Clock = requires(const T &clock) {
-    { clock.now() } -> std::same_as<TimePoint>;
+concept Clock = requires(const T &clock)
+{
+    {
+        clock.now()
+        } -> std::same_as<TimePoint>;
 };
 
 } // namespace heathergate
--- a/libs/core/src/result.cpp
+++ b/libs/core/src/result.cpp
@@ -25,8 +25,9 @@
         {Code::PoisonRequest, "PoisonRequest", 422,
          "The request was running when several upstreams died."},
         {Code::QueueFull, "QueueFull", 503, "A bounded queue of the instance is full."},
-        {Code::TooManyConnections, "TooManyConnections", 503, "The address has too many "
-                                                              "connections."},
+        {Code::TooManyConnections, "TooManyConnections", 503,
+         "The address has too many "
+         "connections."},
         {Code::UnknownProgram, "UnknownProgram", 404, "The customer has no such program."},
         {Code::ProgramEnded, "ProgramEnded", 409, "The program has ended or expired."},
         {Code::OutOfOrder, "OutOfOrder", 409, "The turn is not the program's next one."},
--- a/libs/daemon/include/heathergate/daemon/entry_node.h
+++ b/libs/daemon/include/heathergate/daemon/entry_node.h
@@ -70,7 +70,7 @@
     std::unique_ptr<internal::OperatorApi> m_operatorApi;
     std::unique_ptr<internal::UpstreamApi> m_upstreamApi;
     TimePoint m_nextFollow{};
-    TimePoint m_lastFeed{};
+    TimePoint m_lastAnswer{};
     bool m_joining = false;
     bool m_wasFresh = false;
     std::optional<TimePoint> m_drainedAt;
--- a/libs/daemon/include/heathergate/daemon/internal/entry_context.h
+++ b/libs/daemon/include/heathergate/daemon/internal/entry_context.h
@@ -85,7 +85,8 @@
                       Done done)
     {
         groups.call(now, kControlGroup, wire::RequestKind::Control, encodeVariant(command),
-                    deadline, [done = std::move(done)](TimePoint at, Result<std::string> body) mutable {
+                    deadline,
+                    [done = std::move(done)](TimePoint at, Result<std::string> body) mutable {
                         done(at, bodyOf<control::ControlOutcome>(std::move(body)));
                     });
     }
--- a/libs/daemon/include/heathergate/daemon/log_writer.h
+++ b/libs/daemon/include/heathergate/daemon/log_writer.h
@@ -119,8 +119,8 @@
         if (auto pending = m_wal.commit(); !pending)
             return pending;
         for (const auto &[group, snapshot] : compaction.snapshots) {
-            auto written = log::writeSnapshot(m_files, snapshotName(group),
-                                              wire::encodeSnapshot(snapshot));
+            auto written =
+                log::writeSnapshot(m_files, snapshotName(group), wire::encodeSnapshot(snapshot));
             if (!written)
                 return written;
         }
--- a/libs/daemon/include/heathergate/daemon/replica_host.h
+++ b/libs/daemon/include/heathergate/daemon/replica_host.h
@@ -141,12 +141,8 @@
     void handle(TimePoint now, const InstanceId &from, const wire::ConsensusMessage &message);
     void handle(TimePoint now, const InstanceId &from, const wire::Request &request);
     void handle(TimePoint now, const InstanceId &from, const wire::Follow &follow);
-    void handle(TimePoint, const InstanceId &, const wire::Reply &)
-    {
-    }
-    void handle(TimePoint, const InstanceId &, const wire::FeedMessage &)
-    {
-    }
+    void handle(TimePoint, const InstanceId &, const wire::Reply &) {}
+    void handle(TimePoint, const InstanceId &, const wire::FeedMessage &) {}
 
     void collect(TimePoint now, GroupId id, Group &group);
     void install(GroupId id, Group &group, const consensus::Snapshot &snapshot);
--- a/libs/daemon/src/call_attempt.cpp
+++ b/libs/daemon/src/call_attempt.cpp
@@ -13,8 +13,7 @@
 
 auto eventOf(const nlohmann::json &data) -> std::string
 {
-    return "data: " + data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
-           + "\n\n";
+    return "data: " + data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n\n";
 }
 
 auto chunkOf(const CallRequest &request, const nlohmann::json &delta, const nlohmann::json &reason)
@@ -24,8 +23,7 @@
             {"object", "chat.completion.chunk"},
             {"model", request.model},
             {"choices",
-             nlohmann::json::array(
-                 {{{"index", 0}, {"delta", delta}, {"finish_reason", reason}}})}};
+             nlohmann::json::array({{{"index", 0}, {"delta", delta}, {"finish_reason", reason}}})}};
 }
 
 auto usageOf(const Answer &answer) -> nlohmann::json
@@ -76,15 +74,11 @@
         messages = nlohmann::json::array();
     for (const auto &message : request.newMessages)
         messages.push_back(message);
-    nlohmann::json body{{"model", request.model},
-                        {"messages", std::move(messages)},
-                        {"max_tokens", request.maxTokens},
-                        {"stream", true},
-                        {"priority", request.priority},
-                        {"request_id", request.callId.value}};
+    nlohmann::json body{{"model", request.model},          {"messages", std::move(messages)},
+                        {"max_tokens", request.maxTokens}, {"stream", true},
+                        {"priority", request.priority},    {"request_id", request.callId.value}};
     if (request.program)
-        body["program"]
-            = request.program->customer.value + "/" + request.program->program.value;
+        body["program"] = request.program->customer.value + "/" + request.program->program.value;
     http::Outgoing outgoing;
     outgoing.url = "http://" + call.upstreamAddress + "/v1/chat/completions";
     outgoing.headers["content-type"] = "application/json";
@@ -103,10 +97,10 @@
     outgoing.headers["x-customer"] = request.customer.value;
     // Keys of different customers and programs must not meet at the service.
     if (request.program)
-        outgoing.headers["idempotency-key"]
-            = toHex(hmacSha256(request.customer.value,
-                               request.program->program.value + "/" + request.callId.value))
-                  .substr(0, 32);
+        outgoing.headers["idempotency-key"] =
+            toHex(hmacSha256(request.customer.value,
+                             request.program->program.value + "/" + request.callId.value))
+                .substr(0, 32);
     outgoing.body = request.body;
     return outgoing;
 }
@@ -117,8 +111,8 @@
     if (call == nullptr || call->outgoing != outgoing || call->phase != CallPhase::Running)
         return;
     const auto begun = call->answer.status != 0;
-    const auto timeout = begun ? m_context.settings.progressTimeout
-                               : m_context.settings.firstByteTimeout;
+    const auto timeout =
+        begun ? m_context.settings.progressTimeout : m_context.settings.firstByteTimeout;
     if (now >= call->lastProgress + timeout) {
         m_context.metrics.count("heathergate_silent_upstreams_total",
                                 {{"upstream", call->upstream.value}});
@@ -126,9 +120,8 @@
         retryOrGiveUp(now, *call, true);
         return;
     }
-    m_context.timers.add(call->lastProgress + timeout, [this, id, outgoing](TimePoint at) {
-        watchProgress(at, id, outgoing);
-    });
+    m_context.timers.add(call->lastProgress + timeout,
+                         [this, id, outgoing](TimePoint at) { watchProgress(at, id, outgoing); });
 }
 
 auto CallRunner::upstreamEvent(TimePoint now, const http::ClientEvent &event) -> bool
@@ -148,8 +141,7 @@
         call->answer.contentType = type == head->headers.end() ? "" : type->second;
         const auto boot = head->headers.find("x-boot-id");
         const auto record = m_context.view.state().upstreams().find(call->upstream);
-        const auto restarted = call->phase == CallPhase::Probing
-                               && boot != head->headers.end()
+        const auto restarted = call->phase == CallPhase::Probing && boot != head->headers.end()
                                && record != m_context.view.state().upstreams().end()
                                && record->second.offer.bootId != boot->second;
         if (restarted)
@@ -173,8 +165,8 @@
     auto &answer = call.answer;
     if (call.phase != CallPhase::Running)
         return;
-    const auto isModelStream
-        = call.request.kind == programs::CallKind::Model && answer.status == kStatusOk;
+    const auto isModelStream =
+        call.request.kind == programs::CallKind::Model && answer.status == kStatusOk;
     if (!isModelStream) {
         if (answer.body.size() + bytes.size() <= kMaxAnswerBytes) {
             answer.body += bytes;
@@ -233,11 +225,11 @@
         m_context.metrics.observe("heathergate_first_token_seconds",
                                   {{"customer", call.request.customer.value}},
                                   call.lastProgress - call.arrivedAt);
-        m_context.effects.emplace_back(BeginStream{
-            call.request.token,
-            {kStatusOk,
-             {{"content-type", "text/event-stream"}, {"cache-control", "no-store"}},
-             {}}});
+        m_context.effects.emplace_back(
+            BeginStream{call.request.token,
+                        {kStatusOk,
+                         {{"content-type", "text/event-stream"}, {"cache-control", "no-store"}},
+                         {}}});
     }
     const auto added = text.substr(passed.size());
     passed = text;
@@ -257,8 +249,8 @@
         attemptFailed(now, call, true, true);
         return;
     }
-    const auto otherText = isModel && answer.status == kStatusOk
-                           && !answer.text.starts_with(call.passedText);
+    const auto otherText =
+        isModel && answer.status == kStatusOk && !answer.text.starts_with(call.passedText);
     if (otherText) {
         releaseUpstream(now, call, true);
         giveUp(now, call, programs::CallResult::Unknown,
@@ -276,7 +268,8 @@
         giveUp(now, call, programs::CallResult::NotRun,
                Error{Code::UpstreamFailed,
                      "the engine answered with status " + std::to_string(answer.status),
-                     Ran::Unknown, {}});
+                     Ran::Unknown,
+                     {}});
         return;
     }
     complete(now, call);
@@ -333,7 +326,9 @@
             if (outcome && outcome->number >= control::kPoisonCrashes)
                 giveUp(at, *reported, programs::CallResult::Unknown,
                        Error{Code::PoisonRequest,
-                             "upstreams died each time while this request ran", Ran::Unknown, {}});
+                             "upstreams died each time while this request ran",
+                             Ran::Unknown,
+                             {}});
             else
                 retryOrGiveUp(at, *reported, true);
         });
@@ -349,8 +344,7 @@
         ++call.retries;
         call.excluded.insert(call.upstream);
         call.phase = CallPhase::WaitingForProgram;
-        m_context.metrics.count("heathergate_retries_total",
-                                {{"upstream", call.upstream.value}});
+        m_context.metrics.count("heathergate_retries_total", {{"upstream", call.upstream.value}});
         const auto pause = routing::backoff(call.retries, m_context.random);
         m_context.timers.add(now + pause, [this, id = call.id](TimePoint at) {
             auto *waiting = find(id);
@@ -365,14 +359,18 @@
                      std::chrono::seconds(1)});
     else if (!request.idempotent && sent)
         giveUp(now, call, programs::CallResult::Unknown,
-               Error{Code::OutcomeUnknown, "the upstream failed after the request was sent",
-                     Ran::Unknown, {}});
+               Error{Code::OutcomeUnknown,
+                     "the upstream failed after the request was sent",
+                     Ran::Unknown,
+                     {}});
     else
         giveUp(now, call,
                sent || request.idempotent ? programs::CallResult::Unknown
                                           : programs::CallResult::NotRun,
-               Error{Code::UpstreamFailed, "the upstreams that were tried failed",
-                     request.idempotent ? Ran::Unknown : Ran::No, {}});
+               Error{Code::UpstreamFailed,
+                     "the upstreams that were tried failed",
+                     request.idempotent ? Ran::Unknown : Ran::No,
+                     {}});
 }
 
 void CallRunner::giveUp(TimePoint now, Call &call, programs::CallResult result, const Error &error)
@@ -401,8 +399,10 @@
     auto *call = find(id);
     if (call == nullptr)
         return;
-    const Error notRun{Code::DeadlinePassed, "the deadline passed while the request waited",
-                       call->ranElsewhere, {}};
+    const Error notRun{Code::DeadlinePassed,
+                       "the deadline passed while the request waited",
+                       call->ranElsewhere,
+                       {}};
     switch (call->phase) {
     case CallPhase::Admitting:
         refuse(now, *call, notRun);
@@ -413,8 +413,10 @@
             giveUp(now, *call,
                    call->request.idempotent ? programs::CallResult::Unknown
                                             : programs::CallResult::NotRun,
-                   Error{Code::DeadlinePassed, "the deadline passed between attempts",
-                         call->request.idempotent ? Ran::Unknown : Ran::No, {}});
+                   Error{Code::DeadlinePassed,
+                         "the deadline passed between attempts",
+                         call->request.idempotent ? Ran::Unknown : Ran::No,
+                         {}});
         else
             refuse(now, *call, notRun);
         return;
@@ -422,7 +424,9 @@
         abandonAttempt(now, *call);
         giveUp(now, *call, programs::CallResult::Unknown,
                Error{call->request.idempotent ? Code::DeadlinePassed : Code::OutcomeUnknown,
-                     "the deadline passed while an upstream worked", Ran::Unknown, {}});
+                     "the deadline passed while an upstream worked",
+                     Ran::Unknown,
+                     {}});
         return;
     case CallPhase::Beginning:
     case CallPhase::Probing:
--- a/libs/daemon/src/call_queue.cpp
+++ b/libs/daemon/src/call_queue.cpp
@@ -18,8 +18,8 @@
     target.domain = record.offer.domain;
     target.slots = record.offer.slots;
     target.draining = record.draining;
-    target.cacheTokens
-        = record.offer.contextTokens > 0 ? record.offer.contextTokens : kDefaultCacheTokens;
+    target.cacheTokens =
+        record.offer.contextTokens > 0 ? record.offer.contextTokens : kDefaultCacheTokens;
     for (const auto &model : record.offer.models)
         target.lanes.push_back("model:" + model);
     for (const auto &service : record.offer.services)
@@ -60,8 +60,10 @@
             continue;
         const auto allowed = stillAllowed(now, *call);
         if (!allowed)
-            detachCaller(*call, Error{allowed.error().code, allowed.error().detail,
-                                      call->attempt == 0 ? Ran::No : Ran::Unknown, {}});
+            detachCaller(*call, Error{allowed.error().code,
+                                      allowed.error().detail,
+                                      call->attempt == 0 ? Ran::No : Ran::Unknown,
+                                      {}});
         if (!allowed && call->attempt == 0 && call->phase != CallPhase::Beginning)
             remove(now, id);
     }
@@ -92,8 +94,7 @@
 {
     call.phase = CallPhase::Queued;
     const auto &request = call.request;
-    auto &lane
-        = m_lanes.try_emplace(request.lane, m_context.settings.maxQueued).first->second;
+    auto &lane = m_lanes.try_emplace(request.lane, m_context.settings.maxQueued).first->second;
     routing::WorkItem item;
     item.request = call.id;
     item.customer = request.customer;
@@ -144,7 +145,8 @@
     const auto &memory = memoryOf(*call.request.program);
     query.prompt = extendPrompt(memory.prompt, call.request.newMessages);
     query.holders = memory.holders;
-    query.affinity = hash64(call.request.customer.value + "/" + call.request.program->program.value);
+    query.affinity =
+        hash64(call.request.customer.value + "/" + call.request.program->program.value);
     return query;
 }
 
@@ -170,9 +172,8 @@
 void CallRunner::releaseUpstream(TimePoint now, Call &call, bool success)
 {
     m_router.finished(now, call.upstream, call.upstreamIncarnation, success);
-    m_context.timers.add(now, [this, lane = call.request.lane](TimePoint at) {
-        pumpLane(at, lane);
-    });
+    m_context.timers.add(now,
+                         [this, lane = call.request.lane](TimePoint at) { pumpLane(at, lane); });
 }
 
 void CallRunner::begin(TimePoint now, Call &call)
@@ -192,8 +193,7 @@
     begin.placement = {m_context.settings.id, m_context.incarnation, call.id, call.upstream,
                        call.upstreamIncarnation};
     m_context.applyProgram(
-        now, m_context.shardOf(begin.key), begin,
-        std::min(request.deadline, now + kBeginDeadline),
+        now, m_context.shardOf(begin.key), begin, std::min(request.deadline, now + kBeginDeadline),
         [this, id = call.id](TimePoint at, const Result<programs::ProgramOutcome> &outcome) {
             begun(at, id, outcome);
         });
--- a/libs/daemon/src/call_runner.cpp
+++ b/libs/daemon/src/call_runner.cpp
@@ -24,9 +24,10 @@
 void CallRunner::start(TimePoint now, CallRequest request)
 {
     if (m_context.view.state().isPoison(request.fingerprint)) {
-        m_context.refuse(request.token,
-                         Error{Code::PoisonRequest,
-                               "upstreams died each time while this request ran", Ran::No, {}});
+        m_context.refuse(request.token, Error{Code::PoisonRequest,
+                                              "upstreams died each time while this request ran",
+                                              Ran::No,
+                                              {}});
         return;
     }
     const auto id = m_context.nextNumber();
@@ -100,7 +101,8 @@
             continue;
         }
         if (row == nullptr) {
-            refuse(now, *call, Error{Code::UnknownCustomer, "the customer has no row", Ran::No, {}});
+            refuse(now, *call,
+                   Error{Code::UnknownCustomer, "the customer has no row", Ran::No, {}});
             continue;
         }
         if (!m_allowance.tryAdmit(now, customer))
@@ -161,8 +163,8 @@
             auto *call = find(id);
             if (call == nullptr || !call->askedForAllowance)
                 continue;
-            const auto mayComeBack
-                = grant->heldElsewhere > 0 && now - call->arrivedAt < kHeldElsewhereWait;
+            const auto mayComeBack =
+                grant->heldElsewhere > 0 && now - call->arrivedAt < kHeldElsewhereWait;
             if (mayComeBack)
                 continue;
             refuse(now, *call,
@@ -212,14 +214,13 @@
     finish.attempt = call.attempt;
     finish.status = call.answer.status;
     finish.contentType = call.answer.contentType;
-    finish.answer = call.request.kind == programs::CallKind::Model ? call.answer.text
-                                                                   : call.answer.body;
+    finish.answer =
+        call.request.kind == programs::CallKind::Model ? call.answer.text : call.answer.body;
     finish.used = call.answer.completionTokens;
     if (call.request.kind == programs::CallKind::Model) {
         auto messages = call.request.newMessages;
         messages.push_back({{"role", "assistant"}, {"content", call.answer.text}});
-        finish.messages
-            = messages.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        finish.messages = messages.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
         auto &memory = memoryOf(*call.request.program);
         memory.attained += static_cast<double>(call.answer.completionTokens);
         memory.prompt = call.prompt;
@@ -243,9 +244,10 @@
         return;
     if (!outcome) {
         refuse(now, *call,
-               Error{Code::OutcomeUnknown, "the answer could not be recorded: "
-                                               + outcome.error().detail,
-                     Ran::Yes, {}});
+               Error{Code::OutcomeUnknown,
+                     "the answer could not be recorded: " + outcome.error().detail,
+                     Ran::Yes,
+                     {}});
         return;
     }
     deliver(*call);
--- a/libs/daemon/src/caller_api.cpp
+++ b/libs/daemon/src/caller_api.cpp
@@ -150,8 +150,8 @@
               {"spent", program.spent},
               {"reserved", program.reserved}}},
             {"calls", std::move(calls)},
-            {"history", nlohmann::json::parse(programs::ProgramLedger::historyOf(program), nullptr,
-                                              false)}};
+            {"history",
+             nlohmann::json::parse(programs::ProgramLedger::historyOf(program), nullptr, false)}};
 }
 
 auto CallerApi::handle(TimePoint now, http::Token token, const http::Request &request) -> bool
@@ -171,9 +171,8 @@
         serviceCall(now, token, request);
     } else {
         const auto &routes = m_context.settings.openRoutes;
-        const auto route = std::find_if(routes.begin(), routes.end(), [&](const OpenRoute &item) {
-            return item.path == path;
-        });
+        const auto route = std::find_if(routes.begin(), routes.end(),
+                                        [&](const OpenRoute &item) { return item.path == path; });
         if (route == routes.end())
             return false;
         openCall(now, token, request, *route);
@@ -205,8 +204,8 @@
     auto instances = nlohmann::json::array();
     for (auto &line : lines)
         instances.push_back(std::move(line.json));
-    const auto ttl
-        = std::chrono::duration_cast<std::chrono::seconds>(m_context.settings.directoryTtl);
+    const auto ttl =
+        std::chrono::duration_cast<std::chrono::seconds>(m_context.settings.directoryTtl);
     m_context.respond(token,
                       jsonResponse({{"ttl_s", ttl.count()}, {"instances", std::move(instances)}}));
 }
@@ -222,9 +221,10 @@
     const auto body = parseJsonObject(request.body.empty() ? "{}" : request.body);
     if (!body)
         return m_context.refuse(token, body.error());
-    auto name = std::string("p") + toHex(hmacSha256(std::to_string(m_context.bootId),
-                                                    std::to_string(m_context.nextNumber())))
-                                       .substr(0, 20);
+    auto name = std::string("p")
+                + toHex(hmacSha256(std::to_string(m_context.bootId),
+                                   std::to_string(m_context.nextNumber())))
+                      .substr(0, 20);
     if (body->contains("id")) {
         if (!(*body)["id"].is_string() || !isCallerProgram((*body)["id"].get<std::string>()))
             return m_context.refuse(
@@ -235,11 +235,11 @@
     }
     const auto most = row->values.budget > 0 ? row->values.budget : kMostBudget;
     const auto budget = readNumber(*body, "budget", most, 0, most);
-    const auto turns = readNumber(*body, "max_turns", m_context.settings.maxTurns, 1,
-                                  m_context.settings.maxTurns);
-    const auto lifetimeMost
-        = std::chrono::duration_cast<std::chrono::seconds>(m_context.settings.programLifetime)
-              .count();
+    const auto turns =
+        readNumber(*body, "max_turns", m_context.settings.maxTurns, 1, m_context.settings.maxTurns);
+    const auto lifetimeMost =
+        std::chrono::duration_cast<std::chrono::seconds>(m_context.settings.programLifetime)
+            .count();
     const auto lifetime = readNumber(*body, "lifetime_s", lifetimeMost, 1, lifetimeMost);
     for (const auto *field : {&budget, &turns, &lifetime}) {
         if (!*field)
@@ -266,16 +266,14 @@
     if (!identity)
         return m_context.refuse(token, identity.error());
     const programs::ProgramKey key{identity->record.holder, ProgramId(name)};
-    m_context.groups.call(now, m_context.shardOf(key), wire::RequestKind::ReadProgram, encode(key),
-                          now + kReadDeadline,
-                          [this, token, key](TimePoint, const Result<std::string> &body) {
-                              const auto program
-                                  = EntryContext::bodyOf<programs::Program>(body);
-                              if (!program)
-                                  return m_context.refuse(token, program.error());
-                              m_context.respond(token,
-                                                jsonResponse(describeProgram(key, *program)));
-                          });
+    m_context.groups.call(
+        now, m_context.shardOf(key), wire::RequestKind::ReadProgram, encode(key),
+        now + kReadDeadline, [this, token, key](TimePoint, const Result<std::string> &body) {
+            const auto program = EntryContext::bodyOf<programs::Program>(body);
+            if (!program)
+                return m_context.refuse(token, program.error());
+            m_context.respond(token, jsonResponse(describeProgram(key, *program)));
+        });
 }
 
 void CallerApi::endProgram(TimePoint now, http::Token token, const http::Request &request,
@@ -311,9 +309,9 @@
         call.priority = row->values.priority;
         call.weight = row->values.weight;
     }
-    const auto most = std::chrono::duration_cast<std::chrono::milliseconds>(
-                          m_context.settings.requestDeadline)
-                          .count();
+    const auto most =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_context.settings.requestDeadline)
+            .count();
     const auto deadline = readHeaderNumber(request, "x-deadline-ms", most, most);
     if (!deadline)
         return tl::unexpected(deadline.error());
@@ -325,9 +323,9 @@
     const auto key = request.header("idempotency-key");
     if (key.size() > kMaxKeyLength)
         return badField("idempotency-key", "at most 200 characters");
-    call.callId = CallId(key.empty() ? "c-" + std::to_string(m_context.bootId) + "-"
-                                           + std::to_string(token)
-                                     : "k-" + key);
+    call.callId =
+        CallId(key.empty() ? "c-" + std::to_string(m_context.bootId) + "-" + std::to_string(token)
+                           : "k-" + key);
     const auto program = request.header("x-program-id");
     if (!program.empty()) {
         if (!isCallerProgram(program))
@@ -363,8 +361,8 @@
     call->newMessages = messages;
     call->maxTokens = *maxTokens;
     call->stream = stream != body->end() && stream->get<bool>();
-    const auto content = call->model + "\n" + messages.dump(-1, ' ', false,
-                                                            nlohmann::json::error_handler_t::replace);
+    const auto content = call->model + "\n"
+                         + messages.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     call->digest = toHex(hmacSha256("call", content));
     call->fingerprint = toHex(hmacSha256(call->customer.value, content));
     m_runner.start(now, std::move(*call));
@@ -380,8 +378,8 @@
     const auto service = rest.substr(0, slash);
     const auto path = slash == std::string::npos ? std::string("/") : rest.substr(slash);
     if (service.empty() || !isPathText(path))
-        return m_context.refuse(
-            token, Error{Code::BadRequest, "path: must be /v1/services/SERVICE/PATH"});
+        return m_context.refuse(token,
+                                Error{Code::BadRequest, "path: must be /v1/services/SERVICE/PATH"});
     call->kind = programs::CallKind::Service;
     call->idempotent = isSafeMethod(request.method);
     call->lane = "service:" + service;
@@ -389,11 +387,11 @@
     call->path = pathWithQuery(path, request);
     call->contentType = request.header("content-type");
     call->body = request.body;
-    const auto content
-        = request.method + " " + service + call->path + "\n" + call->contentType + "\n" + call->body;
+    const auto content =
+        request.method + " " + service + call->path + "\n" + call->contentType + "\n" + call->body;
     call->digest = toHex(hmacSha256("call", content));
-    call->fingerprint
-        = toHex(hmacSha256(call->customer.value, service + call->path + "\n" + call->body));
+    call->fingerprint =
+        toHex(hmacSha256(call->customer.value, service + call->path + "\n" + call->body));
     if (!call->program && !call->idempotent) {
         call->standalone = true;
         call->program = programs::ProgramKey{
--- a/libs/daemon/src/data_folder.cpp
+++ b/libs/daemon/src/data_folder.cpp
@@ -34,14 +34,13 @@
     if (*stored) {
         auto identity = decode<DiskIdentity>(**stored);
         if (identity && identity->cluster != settings.cluster)
-            return fail(Code::BadSetting, settings.dataFolder + " belongs to fleet "
-                                              + identity->cluster);
+            return fail(Code::BadSetting,
+                        settings.dataFolder + " belongs to fleet " + identity->cluster);
         return identity;
     }
     if (settings.diskInstances.size() <= 1)
         return initializeFolder(files, settings);
-    const consensus::ReplicaId replica(settings.id.value + "~"
-                                       + toHex(secureRandom(kDiskIdBytes)));
+    const consensus::ReplicaId replica(settings.id.value + "~" + toHex(secureRandom(kDiskIdBytes)));
     return store(files, {settings.cluster, replica, false});
 }
 
--- a/libs/daemon/src/entry_node.cpp
+++ b/libs/daemon/src/entry_node.cpp
@@ -27,8 +27,8 @@
 EntryNode::EntryNode(const Settings &settings, std::uint64_t bootId, Random random)
     : m_settings(settings)
 {
-    m_context = std::make_unique<internal::EntryContext>(settings, hostIds(settings), bootId,
-                                                         random);
+    m_context =
+        std::make_unique<internal::EntryContext>(settings, hostIds(settings), bootId, random);
     m_runner = std::make_unique<internal::CallRunner>(*m_context);
     m_callerApi = std::make_unique<internal::CallerApi>(*m_context, *m_runner);
     m_operatorApi = std::make_unique<internal::OperatorApi>(*m_context);
@@ -45,16 +45,16 @@
         m_context->metrics.set("heathergate_calls_active", {},
                                static_cast<double>(m_runner->active()));
         m_context->metrics.set("heathergate_revision", {}, static_cast<double>(revision()));
-        return m_context->respond(token, {200,
-                                          {{"content-type", "text/plain; version=0.0.4"}},
-                                          m_context->metrics.render()});
+        return m_context->respond(
+            token,
+            {200, {{"content-type", "text/plain; version=0.0.4"}}, m_context->metrics.render()});
     }
     const auto handled = m_callerApi->handle(now, token, request)
                          || m_operatorApi->handle(now, token, request)
                          || m_upstreamApi->handle(now, token, request);
     if (!handled)
-        m_context->refuse(token, Error{Code::UnknownRoute, "no route for " + request.method + " "
-                                                               + request.path});
+        m_context->refuse(token, Error{Code::UnknownRoute,
+                                       "no route for " + request.method + " " + request.path});
 }
 
 void EntryNode::httpClosed(TimePoint now, http::Token token)
@@ -67,8 +67,7 @@
     m_runner->upstreamEvent(now, event);
 }
 
-void EntryNode::peerMessage(TimePoint now, const InstanceId &from,
-                            const wire::PeerMessage &message)
+void EntryNode::peerMessage(TimePoint now, const InstanceId &from, const wire::PeerMessage &message)
 {
     if (const auto *feed = std::get_if<wire::FeedMessage>(&message)) {
         feedReceived(now, from, *feed);
@@ -84,6 +83,7 @@
     // The answer to a `Follow` that went to the wrong replica.
     if (m_context->groups.leaderOf(kControlGroup) != from)
         return;
+    m_lastAnswer = now;
     if (!reply->leader.empty() && reply->leader != from)
         m_context->groups.setLeader(kControlGroup, reply->leader);
     else
@@ -121,10 +121,9 @@
 
 void EntryNode::leave(TimePoint now)
 {
-    m_context->applyControl(now,
-                            control::RemoveInstance{m_settings.id, m_context->incarnation, false},
-                            now + kControlDeadline,
-                            [](TimePoint, const Result<control::ControlOutcome> &) {});
+    m_context->applyControl(
+        now, control::RemoveInstance{m_settings.id, m_context->incarnation, false},
+        now + kControlDeadline, [](TimePoint, const Result<control::ControlOutcome> &) {});
 }
 
 auto EntryNode::takeEffects() -> std::vector<Effect>
@@ -173,7 +172,7 @@
                              const wire::FeedMessage &message)
 {
     m_context->groups.setLeader(kControlGroup, from);
-    m_lastFeed = now;
+    m_lastAnswer = now;
     const auto changed = m_context->view.receive(message.feed);
     for (const auto &load : message.instances)
         m_context->instanceLoads[load.id] = load.load;
@@ -190,8 +189,10 @@
 void EntryNode::follow(TimePoint now)
 {
     m_nextFollow = now + kFollowInterval;
-    if (now - m_lastFeed > kFeedTimeout)
+    if (now - m_lastAnswer > kFeedTimeout) {
         m_context->groups.suspectLeader(kControlGroup);
+        m_lastAnswer = now;
+    }
     wire::Follow message;
     message.incarnation = m_context->incarnation;
     message.requestedAt = now.time_since_epoch().count();
@@ -212,10 +213,9 @@
     offer.callerAddress = m_settings.caller.text();
     offer.peerAddress = m_settings.peer.port == 0 ? std::string() : m_settings.peer.text();
     offer.domain = m_settings.domain;
-    m_context->applyControl(now, control::JoinInstance{offer}, now + kControlDeadline,
-                            [this](TimePoint, const Result<control::ControlOutcome> &) {
-                                m_joining = false;
-                            });
+    m_context->applyControl(
+        now, control::JoinInstance{offer}, now + kControlDeadline,
+        [this](TimePoint, const Result<control::ControlOutcome> &) { m_joining = false; });
 }
 
 void EntryNode::checkMembership(TimePoint now)
--- a/libs/daemon/src/instance.cpp
+++ b/libs/daemon/src/instance.cpp
@@ -127,8 +127,7 @@
 }
 
 void Instance::route(TimePoint, const InstanceId &to, wire::PeerMessage message,
-                     InstanceOutput &output,
-                     std::vector<std::pair<bool, wire::PeerMessage>> &local)
+                     InstanceOutput &output, std::vector<std::pair<bool, wire::PeerMessage>> &local)
 {
     if (to != m_settings.id) {
         output.effects.emplace_back(SendPeer{to, std::move(message)});
--- a/libs/daemon/src/operator_api.cpp
+++ b/libs/daemon/src/operator_api.cpp
@@ -14,7 +14,7 @@
 
 auto rowJson(const control::TableRow &row) -> nlohmann::json
 {
-    return {{"customer", row.customer.value}, {"rate", row.values.rate},
+    return {{"customer", row.customer.value},  {"rate", row.values.rate},
             {"burst", row.values.burst},       {"budget", row.values.budget},
             {"priority", row.values.priority}, {"weight", row.values.weight},
             {"revision", row.revision}};
@@ -133,8 +133,8 @@
     if (!body)
         return m_context.refuse(token, body.error());
     if (customer.empty() || customer.size() > 64)
-        return m_context.refuse(
-            token, Error{Code::BadRequest, "customer: must have 1 to 64 characters"});
+        return m_context.refuse(token,
+                                Error{Code::BadRequest, "customer: must have 1 to 64 characters"});
     const auto revision = body->value("revision", nlohmann::json());
     if (!revision.is_number_unsigned())
         return m_context.refuse(
@@ -146,8 +146,8 @@
     edit.expected = revision.get<std::uint64_t>();
     if (!remove) {
         const auto *current = m_context.view.state().row(edit.customer);
-        const auto values
-            = readValues(*body, current == nullptr ? control::RowValues{} : current->values);
+        const auto values =
+            readValues(*body, current == nullptr ? control::RowValues{} : current->values);
         if (!values)
             return m_context.refuse(token, values.error());
         edit.values = *values;
@@ -213,14 +213,14 @@
     const auto field = std::string(isOperator ? "operator" : "customer");
     const auto holder = body->value(field, nlohmann::json());
     if (!holder.is_string() || holder.get<std::string>().empty())
-        return m_context.refuse(
-            token, Error{Code::BadRequest, "customer or operator: must be a name"});
+        return m_context.refuse(token,
+                                Error{Code::BadRequest, "customer or operator: must be a name"});
     control::GiveKey give;
     give.editId = editIdOf(request);
     // A resend of the same edit has to show the same key, which is stored nowhere.
-    const auto material = hmacSha256(m_context.settings.hashSecret,
-                                     "key material\n" + give.editId + "\n"
-                                         + holder.get<std::string>());
+    const auto material =
+        hmacSha256(m_context.settings.hashSecret,
+                   "key material\n" + give.editId + "\n" + holder.get<std::string>());
     const auto key = (isOperator ? "hgo_" : "hgc_") + toHex(material.substr(0, kKeyBytes));
     give.keyHash = keyHashOf(m_context.settings, key);
     give.id = KeyId("key-" + give.keyHash.substr(0, 12));
@@ -234,10 +234,9 @@
                 return m_context.refuse(token, outcome.error());
             if (outcome->error)
                 return m_context.refuse(token, *outcome->error);
-            m_context.respond(token, jsonResponse({{"id", id.value},
-                                                   {"key", key},
-                                                   {"revision", outcome->revision}},
-                                                  201));
+            m_context.respond(
+                token, jsonResponse(
+                           {{"id", id.value}, {"key", key}, {"revision", outcome->revision}}, 201));
         });
 }
 
@@ -277,8 +276,8 @@
     const auto action = body->value("action", nlohmann::json());
     const auto argument = body->value("argument", nlohmann::json(""));
     if (!action.is_string() || !argument.is_string())
-        return m_context.refuse(
-            token, Error{Code::BadRequest, "action and argument: must be text"});
+        return m_context.refuse(token,
+                                Error{Code::BadRequest, "action and argument: must be text"});
     applyEdit(now, token,
               control::GiveOrder{editIdOf(request), UpstreamId(id), action.get<std::string>(),
                                  argument.get<std::string>()},
@@ -303,8 +302,8 @@
     m_context.groups.call(
         now, kControlGroup, wire::RequestKind::ReadGroup, {}, now + kEditDeadline,
         [this, token](TimePoint, const Result<std::string> &body) {
-            const auto group = body ? nlohmann::json::parse(*body, nullptr, false)
-                                    : nlohmann::json::object();
+            const auto group =
+                body ? nlohmann::json::parse(*body, nullptr, false) : nlohmann::json::object();
             auto instances = nlohmann::json::array();
             for (const auto &[id, record] : m_context.view.state().instances()) {
                 nlohmann::json line{{"id", id.value},
@@ -328,14 +327,13 @@
 void OperatorApi::showGroup(TimePoint now, http::Token token, const std::string &group)
 {
     const auto number = std::strtoul(group.c_str(), nullptr, 10);
-    m_context.groups.call(now, static_cast<GroupId>(number), wire::RequestKind::ReadGroup, {},
-                          now + kEditDeadline,
-                          [this, token](TimePoint, const Result<std::string> &body) {
-                              if (!body)
-                                  return m_context.refuse(token, body.error());
-                              m_context.respond(
-                                  token, {200, {{"content-type", "application/json"}}, *body});
-                          });
+    m_context.groups.call(
+        now, static_cast<GroupId>(number), wire::RequestKind::ReadGroup, {}, now + kEditDeadline,
+        [this, token](TimePoint, const Result<std::string> &body) {
+            if (!body)
+                return m_context.refuse(token, body.error());
+            m_context.respond(token, {200, {{"content-type", "application/json"}}, *body});
+        });
 }
 
 void OperatorApi::replaceReplica(TimePoint now, http::Token token, const http::Request &request)
@@ -348,11 +346,11 @@
     if (!oldReplica.is_string() || !newReplica.is_string())
         return m_context.refuse(token,
                                 Error{Code::BadRequest, "old and new: must be names of replicas"});
-    applyEdit(now, token,
-              control::StartReplacement{
-                  editIdOf(request),
-                  {oldReplica.get<std::string>(), newReplica.get<std::string>()}},
-              false);
+    applyEdit(
+        now, token,
+        control::StartReplacement{editIdOf(request),
+                                  {oldReplica.get<std::string>(), newReplica.get<std::string>()}},
+        false);
 }
 
 void OperatorApi::showProgram(TimePoint now, http::Token token, const std::string &customer,
@@ -383,8 +381,8 @@
     if (text("customer").empty() || text("program").empty() || text("call").empty()
         || !ran.is_boolean())
         return m_context.refuse(
-            token,
-            Error{Code::BadRequest, "customer, program, call and ran: must be names and a boolean"});
+            token, Error{Code::BadRequest,
+                         "customer, program, call and ran: must be names and a boolean"});
     settlement.key = {CustomerId(text("customer")), ProgramId(text("program"))};
     settlement.call = CallId(text("call"));
     settlement.ran = ran.get<bool>();
@@ -440,10 +438,10 @@
 {
     m_context.groups.call(
         now, kControlGroup, wire::RequestKind::ReadGroup, {}, deadline,
-        [this, token, outcome = std::move(outcome),
-         deadline](TimePoint at, const Result<std::string> &body) {
-            const auto group = body ? nlohmann::json::parse(*body, nullptr, false)
-                                    : nlohmann::json::object();
+        [this, token, outcome = std::move(outcome), deadline](TimePoint at,
+                                                              const Result<std::string> &body) {
+            const auto group =
+                body ? nlohmann::json::parse(*body, nullptr, false) : nlohmann::json::object();
             const auto followers = group.value("followers", nlohmann::json::object());
             auto missing = nlohmann::json::array();
             for (const auto &[id, record] : m_context.view.state().instances()) {
--- a/libs/daemon/src/peer_network.cpp
+++ b/libs/daemon/src/peer_network.cpp
@@ -102,8 +102,8 @@
         }
         m_lastReceived = SteadyClock::now();
         const auto wasEstablished = m_session.isEstablished();
-        const auto bodies
-            = m_session.receive(std::string_view(buffer).substr(0, static_cast<std::size_t>(count)));
+        const auto bodies =
+            m_session.receive(std::string_view(buffer).substr(0, static_cast<std::size_t>(count)));
         if (!bodies) {
             kLog.warning("Closed a connection: " + bodies.error().detail + ".");
             fail();
@@ -140,9 +140,8 @@
     /// Sends a sign of life if nothing was sent for a while, and closes a silent connection.
     void checkSilence(SteadyClock::time_point now)
     {
-        const auto limit = m_session.isEstablished()
-                               ? SteadyClock::duration(kSilenceLimit)
-                               : SteadyClock::duration(kHandshakeLimit);
+        const auto limit = m_session.isEstablished() ? SteadyClock::duration(kSilenceLimit)
+                                                     : SteadyClock::duration(kHandshakeLimit);
         if (now - m_lastReceived > limit) {
             fail();
             return;
@@ -326,18 +325,17 @@
     void dial(const InstanceId &to, const Endpoint &endpoint, Dialling &dialling)
     {
         const auto now = SteadyClock::now();
-        const auto underWay
-            = std::any_of(m_connections.begin(), m_connections.end(), [&](const auto &item) {
-                  return !item->isClosed() && item->dialled() == to;
-              });
+        const auto underWay =
+            std::any_of(m_connections.begin(), m_connections.end(), [&](const auto &item) {
+                return !item->isClosed() && item->dialled() == to;
+            });
         if (underWay || now < dialling.notBefore)
             return;
         dialling.notBefore = now + kRedialPause;
         auto connection = std::make_unique<Connection>(m_reactor, *this, m_identity, to);
         ACE_SOCK_Connector connector;
         const ACE_INET_Addr address(endpoint.port, endpoint.host.c_str());
-        const auto status
-            = connector.connect(connection->stream(), address, &ACE_Time_Value::zero);
+        const auto status = connector.connect(connection->stream(), address, &ACE_Time_Value::zero);
         if (status != 0 && errno != EWOULDBLOCK && errno != EINPROGRESS) {
             dialling.waiting.clear();
             return;
@@ -348,8 +346,7 @@
 
     auto handle_input(ACE_HANDLE) -> int override
     {
-        auto connection
-            = std::make_unique<Connection>(m_reactor, *this, m_identity, std::nullopt);
+        auto connection = std::make_unique<Connection>(m_reactor, *this, m_identity, std::nullopt);
         if (m_acceptor.accept(connection->stream()) == 0 && connection->open())
             m_connections.push_back(std::move(connection));
         return 0;
--- a/libs/daemon/src/peer_session.cpp
+++ b/libs/daemon/src/peer_session.cpp
@@ -45,8 +45,7 @@
     return text;
 }
 
-auto frameCode(const std::string &key, std::uint64_t position, std::string_view body)
-    -> std::string
+auto frameCode(const std::string &key, std::uint64_t position, std::string_view body) -> std::string
 {
     auto text = numberBytes(position, sizeof(position));
     text += body;
@@ -108,8 +107,8 @@
     if (hello->cluster != m_identity.cluster)
         return fail(Code::PeerRejected, "the peer belongs to another fleet");
     if (m_expected && hello->instance != *m_expected)
-        return fail(Code::PeerRejected, "another instance answers at the address of "
-                                            + m_expected->value);
+        return fail(Code::PeerRejected,
+                    "another instance answers at the address of " + m_expected->value);
     if (hello->nonce.size() != m_nonce.size() || hello->nonce == m_nonce
         || hello->instance == m_identity.self)
         return fail(Code::PeerRejected, "the peer reflects this instance");
@@ -119,22 +118,22 @@
     const auto &secret = m_identity.secrets.front();
     putFrame(hmacSha256(secret, transcript({"proof", m_identity.cluster, m_identity.self.value,
                                             m_peer.value, m_nonce, m_peerNonce})));
-    m_sendKey = hmacSha256(secret, transcript({"session", m_identity.self.value, m_peer.value,
-                                               m_nonce, m_peerNonce}));
+    m_sendKey = hmacSha256(
+        secret, transcript({"session", m_identity.self.value, m_peer.value, m_nonce, m_peerNonce}));
     return {};
 }
 
 auto PeerSession::takeProof(const std::string &body) -> Result<void>
 {
     for (const auto &secret : m_identity.secrets) {
-        const auto proof
-            = hmacSha256(secret, transcript({"proof", m_identity.cluster, m_peer.value,
-                                             m_identity.self.value, m_peerNonce, m_nonce}));
+        const auto proof =
+            hmacSha256(secret, transcript({"proof", m_identity.cluster, m_peer.value,
+                                           m_identity.self.value, m_peerNonce, m_nonce}));
         if (!equalInConstantTime(proof, body))
             continue;
-        m_receiveKey = hmacSha256(secret, transcript({"session", m_peer.value,
-                                                      m_identity.self.value, m_peerNonce,
-                                                      m_nonce}));
+        m_receiveKey = hmacSha256(
+            secret,
+            transcript({"session", m_peer.value, m_identity.self.value, m_peerNonce, m_nonce}));
         m_established = true;
         return {};
     }
--- a/libs/daemon/src/replica_host.cpp
+++ b/libs/daemon/src/replica_host.cpp
@@ -26,7 +26,8 @@
     for (GroupId id = 0; id <= m_settings.shards; ++id) {
         consensus::Replica replica(m_settings.replica, m_settings.consensus, m_settings.genesis,
                                    std::move(recovered[id]), Random(random.next()), now);
-        auto &group = m_groups.emplace(id, Group{std::move(replica), {}, {}, 0, 0, {}}).first->second;
+        auto &group =
+            m_groups.emplace(id, Group{std::move(replica), {}, {}, 0, 0, {}}).first->second;
         collect(now, id, group);
     }
 }
@@ -139,9 +140,10 @@
     }
     for (auto &write : effects.writes)
         m_output.storage.emplace_back(GroupWrite{id, std::move(write)});
-    for (auto &envelope : effects.messages)
-        m_output.messages.emplace_back(instanceOf(envelope.to),
-                                       wire::ConsensusMessage{id, std::move(envelope)});
+    for (auto &envelope : effects.messages) {
+        const auto to = instanceOf(envelope.to);
+        m_output.messages.emplace_back(to, wire::ConsensusMessage{id, std::move(envelope)});
+    }
 }
 
 void ReplicaHost::install(GroupId id, Group &group, const consensus::Snapshot &snapshot)
@@ -201,9 +203,10 @@
 void ReplicaHost::refuseWaiting(Group &group)
 {
     for (const auto &[index, waiting] : group.waiting)
-        reply(waiting.from,
-              {waiting.request, Error{Code::NotLeader, "the leader has changed", Ran::No, {}},
-               leaderHint(group), {}});
+        reply(waiting.from, {waiting.request,
+                             Error{Code::NotLeader, "the leader has changed", Ran::No, {}},
+                             leaderHint(group),
+                             {}});
     group.waiting.clear();
 }
 
@@ -229,8 +232,8 @@
     else if (const auto key = decode<programs::ProgramKey>(request.body)) {
         const auto *program = group.ledger.find(*key);
         if (program == nullptr)
-            answer.error = Error{Code::UnknownProgram, "no program " + key->program.value, Ran::No,
-                                 {}};
+            answer.error =
+                Error{Code::UnknownProgram, "no program " + key->program.value, Ran::No, {}};
         else
             answer.body = encode(*program);
     } else {
@@ -251,8 +254,8 @@
     if (id == kControlGroup) {
         auto followers = nlohmann::json::object();
         for (const auto &[name, follower] : m_followers) {
-            const auto silent
-                = std::chrono::duration_cast<std::chrono::milliseconds>(now - follower.lastSeen);
+            const auto silent =
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - follower.lastSeen);
             followers[name.value] = {{"revision", follower.revision},
                                      {"silentMs", silent.count()},
                                      {"load", follower.load}};
--- a/libs/daemon/src/replica_host_control.cpp
+++ b/libs/daemon/src/replica_host_control.cpp
@@ -15,9 +15,11 @@
 {
     auto &group = m_groups.at(kControlGroup);
     if (!group.replica.canServeReads(now)) {
-        reply(from, {0, Error{Code::NotLeader, "this replica does not lead the control group",
-                              Ran::No, {}},
-                     leaderHint(group), {}});
+        reply(from,
+              {0,
+               Error{Code::NotLeader, "this replica does not lead the control group", Ran::No, {}},
+               leaderHint(group),
+               {}});
         return;
     }
     auto &follower = m_followers[from];
@@ -77,8 +79,8 @@
     }
     for (const auto &[id, record] : m_control.upstreams()) {
         const auto known = m_upstreams.find(id);
-        const auto current = known != m_upstreams.end()
-                             && known->second.incarnation == record.incarnation;
+        const auto current =
+            known != m_upstreams.end() && known->second.incarnation == record.incarnation;
         if (!current) {
             m_upstreams[id] = UpstreamState{record.incarnation, now, 0};
             continue;
@@ -87,9 +89,8 @@
         if (now - silentSince > m_settings.upstreamTimeout)
             proposeControl(now, control::RemoveUpstream{id, record.incarnation});
     }
-    std::erase_if(m_upstreams, [this](const auto &item) {
-        return !m_control.upstreams().contains(item.first);
-    });
+    std::erase_if(m_upstreams,
+                  [this](const auto &item) { return !m_control.upstreams().contains(item.first); });
     std::erase_if(m_followers, [&](const auto &item) {
         const auto record = m_control.instances().find(item.first);
         return record == m_control.instances().end()
@@ -143,8 +144,7 @@
 void ReplicaHost::proposeControl(TimePoint now, const control::ControlCommand &command)
 {
     // Proposals of the leader itself are repeated by its next maintenance if they come to nothing.
-    static_cast<void>(
-        m_groups.at(kControlGroup).replica.propose(now, encodeVariant(command)));
+    static_cast<void>(m_groups.at(kControlGroup).replica.propose(now, encodeVariant(command)));
 }
 
 } // namespace heathergate::daemon
--- a/libs/daemon/src/replica_host_shards.cpp
+++ b/libs/daemon/src/replica_host_shards.cpp
@@ -26,8 +26,7 @@
         const auto alive = record != m_control.upstreams().end()
                            && record->second.incarnation == holder.incarnation;
         if (!alive && m_control.revision() >= holder.incarnation)
-            proposeProgram(now, group,
-                           programs::UpstreamGone{holder.upstream, holder.incarnation});
+            proposeProgram(now, group, programs::UpstreamGone{holder.upstream, holder.incarnation});
     }
     releaseMemory(now, group);
 }
@@ -45,8 +44,8 @@
         if (sent != TimePoint{} && now - sent < kReleaseRetry)
             continue;
         sent = now;
-        const nlohmann::json body{{"program", release.key.customer.value + "/"
-                                                  + release.key.program.value}};
+        const nlohmann::json body{
+            {"program", release.key.customer.value + "/" + release.key.program.value}};
         m_output.orders.push_back({release.holder.upstream, target->second.offer.address,
                                    "/programs/release", body.dump(), release});
     }
--- a/libs/daemon/src/server.cpp
+++ b/libs/daemon/src/server.cpp
@@ -40,7 +40,9 @@
 
 void installSignalHandlers()
 {
-    struct sigaction action{};
+    struct sigaction action
+    {
+    };
     action.sa_handler = &onSignal;
     for (const auto number : {SIGTERM, SIGINT, SIGHUP})
         sigaction(number, &action, nullptr);
@@ -117,9 +119,8 @@
             return tl::unexpected(host.error());
         const auto bootId = randomNumber() >> 12;
         m_instance = std::make_unique<Instance>(m_settings, bootId, std::move(*host), random);
-        m_client = http::Client::start([this](http::ClientEvent event) {
-            pushPatiently(m_upstreamEvents, std::move(event));
-        });
+        m_client = http::Client::start(
+            [this](http::ClientEvent event) { pushPatiently(m_upstreamEvents, std::move(event)); });
         if (m_settings.peer.port != 0) {
             PeerIdentity identity{m_settings.cluster, m_settings.id, m_settings.fleetSecrets};
             auto peers = PeerNetwork::start(
@@ -147,8 +148,7 @@
                 kLog.info("Draining.");
                 m_instance->drain(now);
             }
-            if (!leavingUntil && m_draining && m_instance->isDrained(now)
-                && openRequests() == 0) {
+            if (!leavingUntil && m_draining && m_instance->isDrained(now) && openRequests() == 0) {
                 m_instance->leave(now);
                 for (const auto &server : m_servers)
                     server->stopAccepting();
@@ -157,8 +157,8 @@
             if (leavingUntil && now >= *leavingUntil)
                 break;
             if (!busy)
-                m_notifier.wait(std::clamp(m_instance->nextDeadline() - now, Duration::zero(),
-                                           kLongestWait));
+                m_notifier.wait(
+                    std::clamp(m_instance->nextDeadline() - now, Duration::zero(), kLongestWait));
         }
         kLog.info(m_failed ? "Stopped after a failure." : "Stopped.");
         return m_failed ? 1 : 0;
@@ -187,8 +187,7 @@
             settings.genesis = genesisConfiguration(m_settings);
         kLog.info("Opened " + m_settings.dataFolder + " as replica " + identity->replica.value
                   + ".");
-        auto host = std::make_unique<ReplicaHost>(std::move(settings),
-                                                  std::move(recovered->second),
+        auto host = std::make_unique<ReplicaHost>(std::move(settings), std::move(recovered->second),
                                                   Random(randomNumber()), m_clock.now());
         m_log = std::make_unique<LogWriter>(
             *m_files, std::move(recovered->first),
@@ -214,11 +213,12 @@
         settings.idleTimeout = m_settings.idleTimeout;
         settings.tls = std::move(*tls);
         const auto number = m_servers.size();
-        m_httpEvents.push_back(std::make_unique<Ring<HttpEvent>>(
-            kEventRing, [this] { m_notifier.notify(); }));
+        m_httpEvents.push_back(
+            std::make_unique<Ring<HttpEvent>>(kEventRing, [this] { m_notifier.notify(); }));
         auto &ring = *m_httpEvents.back();
-        const auto global
-            = [number](http::Token token) { return token | (number << kServerShift); };
+        const auto global = [number](http::Token token) {
+            return token | (number << kServerShift);
+        };
         auto server = http::Server::start(
             settings,
             [&ring, global](http::Token token, http::Request request) {
@@ -259,9 +259,28 @@
             m_log->write(std::move(output.storage));
         for (auto &effect : output.effects)
             std::visit([this](auto &item) { carryOut(item); }, effect);
+        logChanges(now);
         return busy;
     }
 
+    /// Tells of changes that operators look for in the log.
+    void logChanges(TimePoint now)
+    {
+        const auto ready = m_instance->entry().isReady(now);
+        if (ready != std::exchange(m_wasReady, ready))
+            kLog.info(ready ? "Admits requests." : "Admits no requests.");
+        if (m_instance->host() == nullptr)
+            return;
+        for (GroupId group = 0; group <= m_settings.shards; ++group) {
+            const auto &replica = m_instance->host()->replica(group);
+            const auto leads = replica.role() == consensus::Role::Leader;
+            if (leads != std::exchange(m_leads[group], leads))
+                kLog.info(std::string(leads ? "Leads" : "No longer leads") + " group "
+                          + std::to_string(group) + " in term " + std::to_string(replica.term())
+                          + ".");
+        }
+    }
+
     auto takeEvents(TimePoint now) -> bool
     {
         bool any = false;
@@ -349,8 +368,8 @@
     void carryOut(SendPeer &effect)
     {
         if (m_peers)
-            m_peers->send({effect.to, m_instance->entry().peerAddress(effect.to),
-                           std::move(effect.message)});
+            m_peers->send(
+                {effect.to, m_instance->entry().peerAddress(effect.to), std::move(effect.message)});
     }
 
     [[nodiscard]] auto openRequests() const -> std::size_t
@@ -374,6 +393,8 @@
     Notifier m_notifier;
     std::atomic<bool> m_failed = false;
     bool m_draining = false;
+    bool m_wasReady = false;
+    std::map<GroupId, bool> m_leads;
     Ring<http::ClientEvent> m_upstreamEvents;
     Ring<PeerIn> m_peerEvents;
     Ring<std::vector<SyncedUpTo>> m_syncedEvents;
--- a/libs/daemon/src/settings.cpp
+++ b/libs/daemon/src/settings.cpp
@@ -59,8 +59,9 @@
     void readEndpoint(const std::string &key, Endpoint &target)
     {
         auto text = target.host.empty() ? std::string() : target.text();
-        read<std::string>(key, text, "IPv4-address:port",
-                          [](const std::string &value) { return parseEndpoint(value).has_value(); });
+        read<std::string>(key, text, "IPv4-address:port", [](const std::string &value) {
+            return parseEndpoint(value).has_value();
+        });
         if (const auto endpoint = parseEndpoint(text))
             target = *endpoint;
     }
@@ -128,8 +129,8 @@
             return;
         std::ostringstream value;
         node.visit([&value](const auto &item) { value << item; });
-        m_error = place(node) + "[" + m_name + "] " + key + " = " + value.str() + " must be "
-                  + allowed;
+        m_error =
+            place(node) + "[" + m_name + "] " + key + " = " + value.str() + " must be " + allowed;
     }
 
     const toml::table *m_table;
@@ -190,10 +191,9 @@
         reader.readEndpoint("caller_address", m_settings.caller);
         reader.readEndpoint("peer_address", m_settings.peer);
         std::string level = "info";
-        reader.read<std::string>("log_level", level, "debug, info, warning or error",
-                                 [](const std::string &name) {
-                                     return telemetry::parseLogLevel(name).has_value();
-                                 });
+        reader.read<std::string>(
+            "log_level", level, "debug, info, warning or error",
+            [](const std::string &name) { return telemetry::parseLogLevel(name).has_value(); });
         m_settings.logLevel = telemetry::parseLogLevel(level).value_or(telemetry::LogLevel::Info);
         reader.require("id", !m_settings.id.empty());
         reader.require("failure_domain", !m_settings.domain.empty());
@@ -255,8 +255,9 @@
     void readKeys()
     {
         auto reader = table("keys");
-        const auto longEnough
-            = [](const std::string &text) { return text.size() >= kMinSecretLength; };
+        const auto longEnough = [](const std::string &text) {
+            return text.size() >= kMinSecretLength;
+        };
         const auto hash = [](const std::string &text) { return text.size() == kKeyHashLength; };
         reader.read<std::string>("hash_secret", m_settings.hashSecret,
                                  "text of at least 16 characters", longEnough);
@@ -299,10 +300,9 @@
         for (const auto &node : *list) {
             TableReader reader(node.as_table(), "open_routes", m_file);
             OpenRoute route;
-            reader.read<std::string>("path", route.path, "a path that starts with /open/",
-                                     [](const std::string &path) {
-                                         return path.starts_with("/open/");
-                                     });
+            reader.read<std::string>(
+                "path", route.path, "a path that starts with /open/",
+                [](const std::string &path) { return path.starts_with("/open/"); });
             reader.readText("service", route.service);
             reader.require("path", !route.path.empty());
             reader.require("service", !route.service.empty());
@@ -344,8 +344,9 @@
     {
         const auto &disks = m_settings.diskInstances;
         if (disks.empty() && !m_settings.hasDisk())
-            keep(m_file + ": [storage] folder is missing; without [fleet] disk_instances the "
-                          "instance stands alone and needs a disk");
+            keep(m_file
+                 + ": [storage] folder is missing; without [fleet] disk_instances the "
+                   "instance stands alone and needs a disk");
         if (disks.empty())
             return;
         if (m_settings.fleetSecrets.empty())
--- a/libs/daemon/src/upstream_api.cpp
+++ b/libs/daemon/src/upstream_api.cpp
@@ -156,8 +156,7 @@
     const auto incarnation = body.value("incarnation", nlohmann::json());
     if (!id || !incarnation.is_number_unsigned())
         return m_context.refuse(
-            token,
-            Error{Code::BadRequest, "id and incarnation: must be text and a whole number"});
+            token, Error{Code::BadRequest, "id and incarnation: must be text and a whole number"});
     m_renewals.erase(UpstreamId(*id));
     m_context.applyControl(
         now, control::RemoveUpstream{UpstreamId(*id), incarnation.get<std::uint64_t>()},
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -176,10 +176,10 @@
         curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, kMaxConnectionAgeSeconds);
         curl_easy_setopt(
             handle, CURLOPT_CONNECTTIMEOUT_MS,
-            static_cast<long>(std::chrono::milliseconds(
-                                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                                      request.connectTimeout))
-                                  .count()));
+            static_cast<long>(
+                std::chrono::milliseconds(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(request.connectTimeout))
+                    .count()));
         if (request.ownConnection) {
             curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
             curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -287,7 +287,8 @@
         const std::lock_guard lock(exchange.mutex);
         if (!exchange.response || std::exchange(exchange.queued, true))
             return MHD_YES;
-        return exchange.streaming ? queueStream(exchange) : queueWhole(exchange, *exchange.response);
+        return exchange.streaming ? queueStream(exchange)
+                                  : queueWhole(exchange, *exchange.response);
     }
 
     [[nodiscard]] auto refusalOf(const Exchange &exchange) const -> std::optional<Response>
@@ -304,12 +305,9 @@
     static auto problem(Code code, const std::string &detail) -> Response
     {
         const auto &info = codeInfo(code);
-        const nlohmann::json body{{"type", "about:blank"},
-                                  {"title", info.name},
-                                  {"status", info.httpStatus},
-                                  {"detail", detail},
-                                  {"code", static_cast<int>(code)},
-                                  {"ran", "no"}};
+        const nlohmann::json body{{"type", "about:blank"},          {"title", info.name},
+                                  {"status", info.httpStatus},      {"detail", detail},
+                                  {"code", static_cast<int>(code)}, {"ran", "no"}};
         return {info.httpStatus, {{"content-type", "application/problem+json"}}, body.dump()};
     }
 
@@ -324,8 +322,8 @@
         auto *response = MHD_create_response_from_buffer(
             answer.body.size(), const_cast<char *>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
         addHeaders(response, answer.headers);
-        const auto result = MHD_queue_response(exchange.connection,
-                                               static_cast<unsigned>(answer.status), response);
+        const auto result =
+            MHD_queue_response(exchange.connection, static_cast<unsigned>(answer.status), response);
         MHD_destroy_response(response);
         return result;
     }
@@ -399,8 +397,8 @@
 auto Server::start(const ServerSettings &settings, RequestHandler onRequest, ClosedHandler onClosed)
     -> Result<std::unique_ptr<Server>>
 {
-    auto server = std::make_unique<MicrohttpdServer>(settings, std::move(onRequest),
-                                                     std::move(onClosed));
+    auto server =
+        std::make_unique<MicrohttpdServer>(settings, std::move(onRequest), std::move(onClosed));
     if (auto listening = server->listen(); !listening)
         return tl::unexpected(listening.error());
     return server;
--- a/libs/limits/src/allowance_client.cpp
+++ b/libs/limits/src/allowance_client.cpp
@@ -114,7 +114,8 @@
     const auto open = account.granted - account.consumed - account.returned;
     const auto wanted = static_cast<MicroTokens>(account.waiting) * kOneToken;
     item.want = std::max<MicroTokens>(0, wanted - open);
-    const auto ahead = account.recentRate * (std::chrono::duration<double>(kAdvanceSpan) / kRateSpan);
+    const auto ahead =
+        account.recentRate * (std::chrono::duration<double>(kAdvanceSpan) / kRateSpan);
     const auto idle = now - account.lastAdmission >= kIdleReturn;
     item.advance = idle ? 0 : static_cast<MicroTokens>(std::ceil(ahead)) * kOneToken;
     return item;
--- a/libs/log/include/heathergate/log/file_layer.h
+++ b/libs/log/include/heathergate/log/file_layer.h
@@ -14,15 +14,32 @@
 /// no creation, renaming or removal lasts before `syncFolder`.
 template <typename T>
 concept FileLayer = requires(T &files, const std::string &name, std::string_view bytes,
-                             std::uint64_t size) {
-    { files.list() } -> std::same_as<Result<std::vector<std::string>>>;
-    { files.read(name) } -> std::same_as<Result<std::string>>;
-    { files.append(name, bytes) } -> std::same_as<Result<void>>;
-    { files.truncate(name, size) } -> std::same_as<Result<void>>;
-    { files.sync(name) } -> std::same_as<Result<void>>;
-    { files.remove(name) } -> std::same_as<Result<void>>;
-    { files.rename(name, name) } -> std::same_as<Result<void>>;
-    { files.syncFolder() } -> std::same_as<Result<void>>;
+                             std::uint64_t size)
+{
+    {
+        files.list()
+        } -> std::same_as<Result<std::vector<std::string>>>;
+    {
+        files.read(name)
+        } -> std::same_as<Result<std::string>>;
+    {
+        files.append(name, bytes)
+        } -> std::same_as<Result<void>>;
+    {
+        files.truncate(name, size)
+        } -> std::same_as<Result<void>>;
+    {
+        files.sync(name)
+        } -> std::same_as<Result<void>>;
+    {
+        files.remove(name)
+        } -> std::same_as<Result<void>>;
+    {
+        files.rename(name, name)
+        } -> std::same_as<Result<void>>;
+    {
+        files.syncFolder()
+        } -> std::same_as<Result<void>>;
 };
 
 } // namespace heathergate::log
--- a/libs/log/include/heathergate/log/write_ahead_log.h
+++ b/libs/log/include/heathergate/log/write_ahead_log.h
@@ -98,8 +98,7 @@
         return "log-" + std::string(20 - digits.size(), '0') + digits;
     }
 
-    [[nodiscard]] auto writeWhole(const std::string &name, std::string_view content)
-        -> Result<void>
+    [[nodiscard]] auto writeWhole(const std::string &name, std::string_view content) -> Result<void>
     {
         auto status = m_files->truncate(name, 0);
         if (status)
--- a/libs/log/src/posix_files.cpp
+++ b/libs/log/src/posix_files.cpp
@@ -180,8 +180,8 @@
     const auto known = m_open.find(name);
     if (known != m_open.end())
         return known->second;
-    const auto file = ::open(path(name).c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC,
-                             kFileMode);
+    const auto file =
+        ::open(path(name).c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
     if (file < 0)
         return systemError("cannot open " + path(name));
     m_open.emplace(name, file);
--- a/libs/log/test/write_ahead_log_test.cpp
+++ b/libs/log/test/write_ahead_log_test.cpp
@@ -135,8 +135,8 @@
     BOOST_REQUIRE(heathergate::log::writeSnapshot(files, "snapshot", "the whole state"));
     BOOST_TEST(heathergate::log::readSnapshot(files, "snapshot")->value() == "the whole state");
     files.content("snapshot")[30] ^= 1;
-    BOOST_TEST((heathergate::log::readSnapshot(files, "snapshot").error().code
-                == Code::DataDamaged));
+    BOOST_TEST(
+        (heathergate::log::readSnapshot(files, "snapshot").error().code == Code::DataDamaged));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/programs/include/heathergate/programs/commands.h
+++ b/libs/programs/include/heathergate/programs/commands.h
@@ -176,9 +176,9 @@
 };
 
 /// New alternatives are added at the end only: positions are part of the stored format.
-using ProgramCommand
-    = std::variant<StartProgram, BeginCall, FinishCall, SettleCall, EndProgram, InstanceGone,
-                   ReleaseDone, UpstreamGone, Sweep, limits::AllowanceRequest>;
+using ProgramCommand =
+    std::variant<StartProgram, BeginCall, FinishCall, SettleCall, EndProgram, InstanceGone,
+                 ReleaseDone, UpstreamGone, Sweep, limits::AllowanceRequest>;
 
 /// What applying a command came to.
 struct ProgramOutcome
--- a/libs/programs/include/heathergate/programs/program_ledger.h
+++ b/libs/programs/include/heathergate/programs/program_ledger.h
@@ -67,9 +67,9 @@
     /// Newest last.
     std::vector<MemoryHolder> holders;
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(Program, limits, startId, status, endReason, startedAt, lastActivity,
-                                   spent, reserved, turns, active, lastDigest, repeats, history,
-                                   calls, holders)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(Program, limits, startId, status, endReason, startedAt,
+                                   lastActivity, spent, reserved, turns, active, lastDigest,
+                                   repeats, history, calls, holders)
 };
 
 /// Memory that an upstream still has to release for a program that is gone.
--- a/libs/programs/src/program_ledger.cpp
+++ b/libs/programs/src/program_ledger.cpp
@@ -170,10 +170,10 @@
         return refused(Code::OutcomeUnknown, "the call may have run before", Ran::Unknown);
     if (program.status != ProgramStatus::Active)
         return refused(Code::ProgramEnded, "the program has ended");
-    const auto sameSender = record.placement.instance == begin.placement.instance
-                            && record.placement.instanceIncarnation
-                                   == begin.placement.instanceIncarnation
-                            && record.placement.request == begin.placement.request;
+    const auto sameSender =
+        record.placement.instance == begin.placement.instance
+        && record.placement.instanceIncarnation == begin.placement.instanceIncarnation
+        && record.placement.request == begin.placement.request;
     const auto isRetry = sameSender && begin.retryOf == record.attempt && begin.retryOf > 0;
     if (record.state == CallState::Running && !isRetry) {
         // The command itself may arrive twice; the attempt it began is still the sender's.
@@ -219,9 +219,9 @@
     if (record.state == CallState::Completed && record.attempt == finish.attempt)
         return recordedAnswer(record);
     // A sender that was taken for dead may still deliver the answer of the last attempt.
-    const auto awaited = record.state == CallState::Running
-                         || record.state == CallState::Interrupted
-                         || (record.state == CallState::Unknown && record.kind == CallKind::Service);
+    const auto awaited =
+        record.state == CallState::Running || record.state == CallState::Interrupted
+        || (record.state == CallState::Unknown && record.kind == CallKind::Service);
     if (record.attempt != finish.attempt || !awaited)
         return refused(Code::OutOfOrder, "the attempt is not the current one", Ran::Unknown);
     auto &root = m_programs.at(rootOf(finish.key));
@@ -329,8 +329,8 @@
         if (!reason.empty())
             end(item->first, program, ProgramStatus::Expired, reason, now);
         const auto isRoot = rootOf(item->first) == item->first;
-        const auto forget = isRoot ? isPastRetention(program, now)
-                                   : !m_programs.contains(rootOf(item->first));
+        const auto forget =
+            isRoot ? isPastRetention(program, now) : !m_programs.contains(rootOf(item->first));
         item = forget ? m_programs.erase(item) : std::next(item);
     }
     return {};
@@ -407,8 +407,7 @@
     const auto prefix = key.program.value + ".";
     for (auto child = m_programs.upper_bound(key); child != m_programs.end(); ++child) {
         if (child->first.customer != key.customer
-            || child->first.program.value.substr(0, key.program.value.size())
-                   != key.program.value)
+            || child->first.program.value.substr(0, key.program.value.size()) != key.program.value)
             break;
         if (child->first.program.value.starts_with(prefix)
             && child->second.status == ProgramStatus::Active)
--- a/libs/routing/include/heathergate/routing/candidate.h
+++ b/libs/routing/include/heathergate/routing/candidate.h
@@ -23,8 +23,11 @@
 /// none can take the request.
 template <typename T>
 concept RoutingPolicy = requires(T &policy, std::size_t count, Candidate (*inspect)(std::size_t),
-                                 const std::vector<std::size_t> &hints, Random &random) {
-    { policy.pick(count, inspect, hints, random) } -> std::same_as<std::size_t>;
+                                 const std::vector<std::size_t> &hints, Random &random)
+{
+    {
+        policy.pick(count, inspect, hints, random)
+        } -> std::same_as<std::size_t>;
 };
 
 /// Load from which an upstream takes nothing more.
--- a/libs/routing/include/heathergate/routing/retry_budget.h
+++ b/libs/routing/include/heathergate/routing/retry_budget.h
@@ -39,8 +39,8 @@
     constexpr Duration kFirst = std::chrono::milliseconds(25);
     constexpr int kMaxDoublings = 6;
     const auto ceiling = kFirst * (1 << std::min(retry - 1, kMaxDoublings));
-    return Duration(static_cast<std::int64_t>(
-        random.below(static_cast<std::uint64_t>(ceiling.count()))));
+    return Duration(
+        static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(ceiling.count()))));
 }
 
 } // namespace heathergate::routing
--- a/libs/routing/include/heathergate/routing/router.h
+++ b/libs/routing/include/heathergate/routing/router.h
@@ -54,8 +54,8 @@
         m_lanes.clear();
         for (const auto &target : targets) {
             const auto known = m_states.find(target.id);
-            const auto same = known != m_states.end()
-                              && known->second.target.incarnation == target.incarnation;
+            const auto same =
+                known != m_states.end() && known->second.target.incarnation == target.incarnation;
             auto state = same ? std::move(known->second) : State(target);
             state.target = target;
             kept.emplace(target.id, std::move(state));
@@ -213,16 +213,16 @@
         Candidate candidate;
         const auto slots = std::max(1, state.target.slots);
         const auto trusted = now - state.reportedAt < kReportTrust;
-        const auto estimate
-            = trusted ? std::max(state.inFlight, state.reported + state.sentSinceReport)
-                      : state.inFlight;
+        const auto estimate = trusted
+                                  ? std::max(state.inFlight, state.reported + state.sentSinceReport)
+                                  : state.inFlight;
         candidate.load = static_cast<double>(estimate + 1) / slots;
         if (query.excluded.contains(state.target.id) || !state.health.isAvailable(now))
             candidate.load = std::numeric_limits<double>::infinity();
         const auto total = query.prompt.totalTokens();
         if (total > 0)
-            candidate.cached
-                = static_cast<double>(state.prefixes.cachedTokens(query.prompt)) / total;
+            candidate.cached =
+                static_cast<double>(state.prefixes.cachedTokens(query.prompt)) / total;
         candidate.sameDomain = state.target.domain == m_ownDomain;
         candidate.share = state.health.share(now);
         return candidate;
--- a/libs/routing/src/work_queue.cpp
+++ b/libs/routing/src/work_queue.cpp
@@ -40,8 +40,7 @@
         return std::nullopt;
     CustomerQueue *chosen = nullptr;
     for (auto &[customer, queue] : group->second.customers) {
-        if (!queue.items.empty()
-            && (chosen == nullptr || queue.virtualTime < chosen->virtualTime))
+        if (!queue.items.empty() && (chosen == nullptr || queue.virtualTime < chosen->virtualTime))
             chosen = &queue;
     }
     const auto index = nextItem(*chosen, now);
@@ -84,9 +83,9 @@
     std::vector<WorkItem> expired;
     for (auto &[priority, group] : m_classes) {
         for (auto &[customer, queue] : group.customers) {
-            const auto late = std::stable_partition(
-                queue.items.begin(), queue.items.end(),
-                [now](const WorkItem &item) { return now < item.deadline; });
+            const auto late =
+                std::stable_partition(queue.items.begin(), queue.items.end(),
+                                      [now](const WorkItem &item) { return now < item.deadline; });
             group.waiting -= static_cast<std::size_t>(queue.items.end() - late);
             m_size -= static_cast<std::size_t>(queue.items.end() - late);
             expired.insert(expired.end(), late, queue.items.end());
--- a/libs/telemetry/include/heathergate/telemetry/internal/bucket_counts.h
+++ b/libs/telemetry/include/heathergate/telemetry/internal/bucket_counts.h
@@ -12,8 +12,8 @@
 namespace heathergate::telemetry::internal {
 
 /// Upper bounds of the buckets, in seconds.
-constexpr std::array<double, 16> kBucketBounds{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
-                                               0.2,    0.5,   1.0,   2.0,   5.0,  10.0, 30.0, 120.0};
+constexpr std::array<double, 16> kBucketBounds{
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 120.0};
 
 using BucketArray = std::array<std::uint64_t, kBucketBounds.size()>;
 
--- a/libs/telemetry/src/logging.cpp
+++ b/libs/telemetry/src/logging.cpp
@@ -59,8 +59,7 @@
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
     backend->auto_flush(true);
     auto sink = boost::make_shared<blog::sinks::synchronous_sink<Backend>>(backend);
-    sink->set_formatter([instance](const blog::record_view &record,
-                                   blog::formatting_ostream &out) {
+    sink->set_formatter([instance](const blog::record_view &record, blog::formatting_ostream &out) {
         formatLine(instance, record, out);
     });
     blog::core::get()->remove_all_sinks();
--- /dev/null
+++ b/libs/testing/include/heathergate/testing/fake_link.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <heathergate/core/core.h>
+
+#include <map>
+#include <set>
+
+namespace heathergate::testing {
+
+/// Probabilities and delays of a fake link.
+struct LinkFaults
+{
+    double drop = 0;
+    double duplicate = 0;
+    Duration shortestDelay = std::chrono::milliseconds(1);
+    Duration longestDelay = std::chrono::milliseconds(1);
+};
+
+/// Carries messages between named nodes under a test's clock: drops, doubles, delays, reorders,
+/// and cuts in one direction.
+template <typename Message>
+class FakeLink
+{
+public:
+    struct Delivery
+    {
+        std::string from;
+        std::string to;
+        Message message;
+    };
+
+    explicit FakeLink(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    void setFaults(const LinkFaults &faults)
+    {
+        m_faults = faults;
+    }
+
+    /// Cuts the way from one node to another, or heals it.
+    void setCut(const std::string &from, const std::string &to, bool cut)
+    {
+        if (cut)
+            m_cuts.emplace(from, to);
+        else
+            m_cuts.erase({from, to});
+    }
+
+    void healAll()
+    {
+        m_cuts.clear();
+    }
+
+    void send(TimePoint now, const std::string &from, const std::string &to, Message message)
+    {
+        const auto copies = m_random.unit() < m_faults.duplicate ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            if (m_random.unit() < m_faults.drop)
+                continue;
+            const auto spread = static_cast<std::uint64_t>(
+                (m_faults.longestDelay - m_faults.shortestDelay).count());
+            const auto delay = m_faults.shortestDelay
+                               + Duration(static_cast<std::int64_t>(m_random.below(spread + 1)));
+            m_inFlight.emplace(now + delay, Delivery{from, to, message});
+        }
+    }
+
+    /// Returns what arrives up to `now`. What a cut catches on the way is lost.
+    [[nodiscard]] auto arrived(TimePoint now) -> std::vector<Delivery>
+    {
+        std::vector<Delivery> deliveries;
+        while (!m_inFlight.empty() && m_inFlight.begin()->first <= now) {
+            auto &delivery = m_inFlight.begin()->second;
+            if (!m_cuts.contains({delivery.from, delivery.to}))
+                deliveries.push_back(std::move(delivery));
+            m_inFlight.erase(m_inFlight.begin());
+        }
+        return deliveries;
+    }
+
+private:
+    Random m_random;
+    LinkFaults m_faults;
+    std::multimap<TimePoint, Delivery> m_inFlight;
+    std::set<std::pair<std::string, std::string>> m_cuts;
+};
+
+} // namespace heathergate::testing
--- /dev/null
+++ b/libs/testing/include/heathergate/testing/manual_clock.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <heathergate/core/time.h>
+
+namespace heathergate::testing {
+
+/// A clock that stands still until a test advances it.
+class ManualClock
+{
+public:
+    [[nodiscard]] auto now() const -> TimePoint
+    {
+        return m_now;
+    }
+
+    void advance(Duration by)
+    {
+        m_now += by;
+    }
+
+private:
+    TimePoint m_now{std::chrono::hours(1)};
+};
+
+static_assert(Clock<ManualClock>);
+
+} // namespace heathergate::testing
--- /dev/null
+++ b/libs/testing/src/consensus_group.cpp
@@ -0,0 +1,258 @@
+#include <heathergate/testing/consensus_group.h>
+
+namespace heathergate::testing {
+
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(1);
+constexpr Duration kSyncTime = std::chrono::milliseconds(2);
+
+} // namespace
+
+ConsensusGroup::ConsensusGroup(std::uint64_t seed, const std::vector<std::string> &voters,
+                               consensus::Settings settings)
+    : m_settings(settings)
+    , m_random(seed)
+    , m_startedAt(m_clock.now())
+    , m_link(seed + 1)
+{
+    for (const auto &name : voters)
+        m_genesis.voters.emplace_back(name);
+    for (const auto &name : voters)
+        start(name, m_nodes[name]);
+}
+
+void ConsensusGroup::run(Duration time)
+{
+    const auto end = m_clock.now() + time;
+    while (m_clock.now() < end) {
+        m_clock.advance(kStep);
+        for (auto &delivery : m_link.arrived(m_clock.now())) {
+            auto &node = m_nodes[delivery.to];
+            if (node.replica && !node.frozen)
+                node.replica->receive(local(node), delivery.message);
+        }
+        for (auto &[name, node] : m_nodes)
+            step(name, node);
+        checkOneReader();
+        checkGroupTime();
+    }
+}
+
+auto ConsensusGroup::runUntilLeader(Duration limit) -> std::string
+{
+    const auto end = m_clock.now() + limit;
+    while (m_clock.now() < end) {
+        run(kStep);
+        for (const auto &[name, node] : m_nodes) {
+            if (node.replica && !node.frozen && node.replica->canServeReads(local(node)))
+                return name;
+        }
+    }
+    return {};
+}
+
+auto ConsensusGroup::runUntilApplied(consensus::Index index, Duration limit) -> bool
+{
+    const auto end = m_clock.now() + limit;
+    const auto done = [&] {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &item) {
+            const auto &node = item.second;
+            return !node.replica || node.frozen || node.replica->commitIndex() >= index;
+        });
+    };
+    while (m_clock.now() < end && !done())
+        run(kStep);
+    return done();
+}
+
+auto ConsensusGroup::propose(const std::string &payload) -> consensus::Index
+{
+    for (auto &[name, node] : m_nodes) {
+        if (!node.replica || node.frozen || !node.replica->canServeReads(local(node)))
+            continue;
+        const auto index = node.replica->propose(local(node), payload);
+        collect(name, node);
+        return index.value_or(0);
+    }
+    return 0;
+}
+
+void ConsensusGroup::crash(const std::string &name)
+{
+    auto &node = m_nodes.at(name);
+    node.replica.reset();
+    node.unsynced.clear();
+}
+
+void ConsensusGroup::restart(const std::string &name)
+{
+    auto &node = m_nodes.at(name);
+    if (!node.replica)
+        start(name, node);
+}
+
+void ConsensusGroup::setFrozen(const std::string &name, bool frozen)
+{
+    m_nodes.at(name).frozen = frozen;
+}
+
+void ConsensusGroup::addEmpty(const std::string &name)
+{
+    auto &node = m_nodes[name];
+    node.isGenesis = false;
+    start(name, node);
+}
+
+void ConsensusGroup::setIsolated(const std::string &name, bool isolated)
+{
+    for (const auto &[other, node] : m_nodes) {
+        m_link.setCut(name, other, isolated);
+        m_link.setCut(other, name, isolated);
+    }
+}
+
+void ConsensusGroup::setClockError(const std::string &name, std::int64_t ppm)
+{
+    m_nodes.at(name).clockError = ppm;
+}
+
+void ConsensusGroup::setDiskStalled(const std::string &name, bool stalled)
+{
+    m_nodes.at(name).stalled = stalled;
+}
+
+auto ConsensusGroup::replica(const std::string &name) -> consensus::Replica &
+{
+    return *m_nodes.at(name).replica;
+}
+
+auto ConsensusGroup::applied(const std::string &name) const -> const std::vector<consensus::Entry> &
+{
+    return m_nodes.at(name).applied;
+}
+
+auto ConsensusGroup::localTime(const std::string &name) const -> TimePoint
+{
+    return local(m_nodes.at(name));
+}
+
+void ConsensusGroup::compact(const std::string &name)
+{
+    auto &node = m_nodes.at(name);
+    const auto index = node.replica->commitIndex();
+    auto state = std::make_shared<const std::string>(encode(node.applied.size()));
+    const auto meta = node.replica->compact(index, state);
+    const auto retained = node.replica->retainedState();
+    node.disk.snapshot = consensus::Snapshot{meta, state};
+    node.disk.entries = retained.entries;
+    node.disk.hardState = retained.hardState;
+}
+
+void ConsensusGroup::start(const std::string &name, Node &node)
+{
+    node.applied.clear();
+    node.replica = std::make_unique<consensus::Replica>(
+        consensus::ReplicaId(name), m_settings,
+        node.isGenesis ? m_genesis : consensus::Configuration{}, node.disk, Random(m_random.next()),
+        local(node));
+    collect(name, node);
+}
+
+void ConsensusGroup::step(const std::string &name, Node &node)
+{
+    if (!node.replica || node.frozen)
+        return;
+    const auto now = local(node);
+    if (now >= node.replica->nextDeadline())
+        node.replica->tick(now);
+    if (!node.unsynced.empty() && m_clock.now() >= node.syncAt && !node.stalled)
+        syncDisk(name, node);
+    collect(name, node);
+}
+
+void ConsensusGroup::collect(const std::string &name, Node &node)
+{
+    auto effects = node.replica->takeEffects(local(node));
+    if (effects.installed)
+        node.applied.clear();
+    for (const auto &entry : effects.committed) {
+        node.applied.push_back(entry);
+        checkAgreement(name, entry);
+    }
+    if (node.unsynced.empty() && !effects.writes.empty())
+        node.syncAt = m_clock.now() + kSyncTime;
+    for (auto &write : effects.writes)
+        node.unsynced.push_back(std::move(write));
+    for (auto &envelope : effects.messages) {
+        const auto to = envelope.to.value;
+        m_link.send(m_clock.now(), name, to, std::move(envelope));
+    }
+}
+
+void ConsensusGroup::syncDisk(const std::string &, Node &node)
+{
+    for (const auto &write : node.unsynced)
+        store(node.disk, write);
+    const auto number = node.unsynced.back().number;
+    node.unsynced.clear();
+    node.replica->synced(local(node), number);
+}
+
+void ConsensusGroup::store(consensus::RecoveredState &disk, const consensus::StorageWrite &write)
+{
+    if (write.hardState)
+        disk.hardState = *write.hardState;
+    if (write.snapshot) {
+        disk.snapshot = write.snapshot;
+        disk.entries.clear();
+    }
+    for (const auto &entry : write.entries) {
+        while (!disk.entries.empty() && disk.entries.back().index >= entry.index)
+            disk.entries.pop_back();
+        disk.entries.push_back(entry);
+    }
+}
+
+void ConsensusGroup::checkAgreement(const std::string &name, const consensus::Entry &entry)
+{
+    const auto [known, added] = m_chosen.emplace(entry.index, entry);
+    if (!added && known->second != entry)
+        note(name + " applied another entry at index " + std::to_string(entry.index));
+}
+
+void ConsensusGroup::checkOneReader()
+{
+    std::string reader;
+    for (const auto &[name, node] : m_nodes) {
+        // A frozen replica does nothing, but the lease it holds must run out all the same.
+        if (!node.replica || !node.replica->canServeReads(local(node)))
+            continue;
+        if (!reader.empty())
+            note(reader + " and " + name + " hold the lease at the same time");
+        reader = name;
+    }
+}
+
+void ConsensusGroup::checkGroupTime()
+{
+    const auto trueTime = m_clock.now() - m_startedAt;
+    for (const auto &[name, node] : m_nodes) {
+        if (node.replica && node.replica->groupTime(local(node)) > trueTime + kStep)
+            note(name + " is ahead of true time");
+    }
+}
+
+auto ConsensusGroup::local(const Node &node) const -> TimePoint
+{
+    const auto elapsed = m_clock.now() - m_startedAt;
+    return m_clock.now() + Duration(elapsed.count() * node.clockError / 1'000'000);
+}
+
+void ConsensusGroup::note(const std::string &violation)
+{
+    if (m_violation.empty())
+        m_violation = violation;
+}
+
+} // namespace heathergate::testing
--- a/libs/testing/src/fake_engine.cpp
+++ b/libs/testing/src/fake_engine.cpp
@@ -11,9 +11,9 @@
 
 auto wordOf(std::uint64_t seed, std::int64_t position) -> std::string
 {
-    constexpr std::string_view kWords[]
-        = {"gold", "leaf", "bunk", "camp", "cockerel", "spire", "lake", "trail",
-           "quote", "date", "size", "ready", "slot", "form", "week", "price"};
+    constexpr std::string_view kWords[] = {"gold", "leaf",  "bunk",  "camp", "cockerel", "spire",
+                                           "lake", "trail", "quote", "date", "size",     "ready",
+                                           "slot", "form",  "week",  "price"};
     auto random = Random(seed + static_cast<std::uint64_t>(position));
     return std::string(kWords[random.below(std::size(kWords))]) + " ";
 }
@@ -60,11 +60,10 @@
 {
     std::vector<FakeEngineEvent> events;
     while (true) {
-        const auto next = std::min_element(m_running.begin(), m_running.end(),
-                                           [](const auto &left, const auto &right) {
-                                               return left.second.nextToken
-                                                      < right.second.nextToken;
-                                           });
+        const auto next = std::min_element(
+            m_running.begin(), m_running.end(), [](const auto &left, const auto &right) {
+                return left.second.nextToken < right.second.nextToken;
+            });
         if (next == m_running.end() || next->second.nextToken > now)
             return events;
         auto &running = next->second;
--- a/libs/wire/src/messages.cpp
+++ b/libs/wire/src/messages.cpp
@@ -108,7 +108,9 @@
 
 auto get(const fb::SnapshotMeta &meta) -> consensus::SnapshotMeta
 {
-    return {meta.index(), meta.term(), GroupTime(meta.time()),
+    return {meta.index(),
+            meta.term(),
+            GroupTime(meta.time()),
             {getIds(meta.voters()), getIds(meta.learners())}};
 }
 
@@ -120,9 +122,9 @@
 
 auto put(Builder &b, const consensus::VoteRequest &m) -> UnionPart
 {
-    return {fb::ConsensusBody::VoteRequest,
-            fb::CreateVoteRequest(b, m.term, m.lastIndex, m.lastTerm, m.preVote, m.transfer)
-                .Union()};
+    return {
+        fb::ConsensusBody::VoteRequest,
+        fb::CreateVoteRequest(b, m.term, m.lastIndex, m.lastTerm, m.preVote, m.transfer).Union()};
 }
 
 auto put(Builder &b, const consensus::VoteReply &m) -> UnionPart
@@ -187,10 +189,9 @@
                                       toTime(m->round())};
     const auto *piece = frame.body_as_SnapshotPiece();
     if (piece != nullptr && piece->meta() != nullptr)
-        return consensus::SnapshotPiece{piece->term(),   get(*piece->meta()),
-                                        piece->size(),   piece->digest(),
-                                        piece->offset(), toTime(piece->round()),
-                                        getBytes(piece->bytes())};
+        return consensus::SnapshotPiece{
+            piece->term(),   get(*piece->meta()),    piece->size(),           piece->digest(),
+            piece->offset(), toTime(piece->round()), getBytes(piece->bytes())};
     if (const auto *m = frame.body_as_SnapshotReply())
         return consensus::SnapshotReply{m->term(), m->index(), m->offset(), toTime(m->round())};
     if (const auto *m = frame.body_as_TransferRequest())
@@ -236,8 +237,8 @@
 
 void putFrame(Builder &builder, const ConsensusMessage &message)
 {
-    const auto part = std::visit([&](const auto &body) { return put(builder, body); },
-                                 message.envelope.message);
+    const auto part =
+        std::visit([&](const auto &body) { return put(builder, body); }, message.envelope.message);
     const auto from = builder.CreateString(message.envelope.from.value);
     const auto to = builder.CreateString(message.envelope.to.value);
     finish(builder, fb::PeerBody::Consensus,
@@ -293,8 +294,8 @@
     const auto upstreams = put(builder, message.upstreams);
     const auto instances = putInstances(builder, message.instances);
     finish(builder, fb::PeerBody::Feed,
-           fb::CreateFeed(builder, feed.requestedAt, feed.leaderRevision, state, entries,
-                          upstreams, instances)
+           fb::CreateFeed(builder, feed.requestedAt, feed.leaderRevision, state, entries, upstreams,
+                          instances)
                .Union());
 }
 
@@ -342,8 +343,8 @@
                                  std::move(*body)}};
     }
     if (const auto *request = frame.body_as_Request())
-        return Request{request->id(), request->group(),
-                       static_cast<RequestKind>(request->kind()), getBytes(request->body())};
+        return Request{request->id(), request->group(), static_cast<RequestKind>(request->kind()),
+                       getBytes(request->body())};
     if (const auto *reply = frame.body_as_Reply())
         return getReply(*reply);
     if (const auto *follow = frame.body_as_Follow())
@@ -424,8 +425,8 @@
     StoredRecord record;
     record.group = stored.group();
     if (stored.has_hard_state())
-        record.hardState
-            = consensus::HardState{stored.term(), consensus::ReplicaId(getText(stored.vote()))};
+        record.hardState =
+            consensus::HardState{stored.term(), consensus::ReplicaId(getText(stored.vote()))};
     record.entries = getEntries(stored.entries());
     record.installIndex = stored.install_index();
     return record;
@@ -436,8 +437,8 @@
     Builder builder;
     const auto meta = put(builder, snapshot.meta);
     const auto bytes = putBytes(builder, *snapshot.state);
-    builder.Finish(fb::CreateSnapshotPiece(builder, 0, meta, snapshot.state->size(), 0, 0, 0,
-                                           bytes));
+    builder.Finish(
+        fb::CreateSnapshotPiece(builder, 0, meta, snapshot.state->size(), 0, 0, 0, bytes));
     return takeBuffer(builder);
 }
 
@@ -450,8 +451,8 @@
     const auto &stored = *flatbuffers::GetRoot<fb::SnapshotPiece>(copy.data());
     if (stored.meta() == nullptr)
         return fail(Code::DataDamaged, "a stored snapshot has no position");
-    return consensus::Snapshot{get(*stored.meta()), std::make_shared<const std::string>(
-                                                        getBytes(stored.bytes()))};
+    return consensus::Snapshot{get(*stored.meta()),
+                               std::make_shared<const std::string>(getBytes(stored.bytes()))};
 }
 
 } // namespace heathergate::wire
