Test each library by stories and properties

Cause: the properties found three faults. Change: request numbers start at random; an allowance answer names the incarnation it is for; charges stop at the reservation; a stream past it is cut and ends with reason 'length'.

--- a/libs/daemon/include/heathergate/daemon/group_client.h
+++ b/libs/daemon/include/heathergate/daemon/group_client.h
@@ -18,6 +18,7 @@
     GroupClient(std::vector<InstanceId> hosts, Random random)
         : m_hosts(std::move(hosts))
         , m_random(random)
+        , m_lastId(m_random.next() >> 1)
     {
     }
 
@@ -59,7 +60,8 @@
     Random m_random;
     std::map<GroupId, InstanceId> m_leaders;
     std::map<std::uint64_t, Pending> m_pending;
-    std::uint64_t m_lastId = 0;
+    /// Starts at random, so that an answer to a former incarnation's request matches none.
+    std::uint64_t m_lastId;
     std::vector<std::pair<InstanceId, wire::PeerMessage>> m_messages;
 };
 
--- a/libs/daemon/include/heathergate/daemon/internal/call.h
+++ b/libs/daemon/include/heathergate/daemon/internal/call.h
@@ -72,6 +72,8 @@
     std::int64_t promptTokens = 0;
     std::int64_t cachedTokens = 0;
     bool done = false;
+    /// The engine produced more than the call reserved.
+    bool overran = false;
     http::EventStreamReader events;
 };
 
--- a/libs/daemon/include/heathergate/daemon/internal/call_runner.h
+++ b/libs/daemon/include/heathergate/daemon/internal/call_runner.h
@@ -79,6 +79,7 @@
     void modelChunk(Call &call, const std::string &data);
     void passOnText(Call &call);
     void attemptEnded(TimePoint now, Call &call, const http::AnswerEnd &end);
+    auto cancelOutgoing(Call &call) -> bool;
     void abandonAttempt(TimePoint now, Call &call);
 
     // Failure.
--- a/libs/daemon/src/call_attempt.cpp
+++ b/libs/daemon/src/call_attempt.cpp
@@ -177,9 +177,16 @@
                Error{Code::UpstreamFailed, "the answer is too large", Ran::Yes, {}});
         return;
     }
-    for (const auto &data : answer.events.feed(bytes))
+    for (const auto &data : answer.events.feed(bytes)) {
         modelChunk(call, data);
+        if (answer.done)
+            break;
+    }
     passOnText(call);
+    if (answer.overran) {
+        cancelOutgoing(call);
+        complete(now, call);
+    }
 }
 
 void CallRunner::modelChunk(Call &call, const std::string &data)
@@ -198,6 +205,13 @@
         const auto delta = choice.value("delta", nlohmann::json::object());
         const auto content = delta.find("content");
         if (content != delta.end() && content->is_string()) {
+            // An engine that runs past the reservation is stopped.
+            if (answer.completionTokens >= call.request.maxTokens) {
+                answer.finishReason = "length";
+                answer.overran = true;
+                answer.done = true;
+                return;
+            }
             answer.text += content->get<std::string>();
             ++answer.completionTokens;
         }
@@ -275,14 +289,20 @@
     complete(now, call);
 }
 
-void CallRunner::abandonAttempt(TimePoint now, Call &call)
+auto CallRunner::cancelOutgoing(Call &call) -> bool
 {
     const auto outgoing = std::exchange(call.outgoing, 0);
     if (outgoing == 0)
-        return;
+        return false;
     m_byOutgoing.erase(outgoing);
     m_context.effects.emplace_back(CancelUpstream{outgoing});
-    releaseUpstream(now, call, false);
+    return true;
+}
+
+void CallRunner::abandonAttempt(TimePoint now, Call &call)
+{
+    if (cancelOutgoing(call))
+        releaseUpstream(now, call, false);
 }
 
 void CallRunner::attemptFailed(TimePoint now, Call &call, bool sent, bool cut)
@@ -345,8 +365,7 @@
         ++call.retries;
         call.excluded.insert(call.upstream);
         call.phase = CallPhase::WaitingForProgram;
-        m_context.metrics.count("heathergate_retries_total",
-                                {{"upstream", call.upstream.value}});
+        m_context.metrics.count("heathergate_retries_total", {{"upstream", call.upstream.value}});
         const auto pause = routing::backoff(call.retries, m_context.random);
         m_context.timers.add(now + pause, [this, id = call.id](TimePoint at) {
             auto *waiting = find(id);
@@ -360,19 +379,21 @@
                Error{Code::UpstreamFailed, "no upstream could be reached", Ran::No,
                      std::chrono::seconds(1)});
     else if (request.idempotent)
-        giveUp(now, call,
-               Error{Code::UpstreamFailed, "the upstreams that were tried failed", Ran::Unknown,
-                     {}});
+        giveUp(
+            now, call,
+            Error{Code::UpstreamFailed, "the upstreams that were tried failed", Ran::Unknown, {}});
     else
         giveUp(now, call,
-               Error{Code::OutcomeUnknown, "the upstream failed after the request was sent",
-                     Ran::Unknown, {}});
+               Error{Code::OutcomeUnknown,
+                     "the upstream failed after the request was sent",
+                     Ran::Unknown,
+                     {}});
 }
 
 void CallRunner::giveUp(TimePoint now, Call &call, const Error &error)
 {
-    giveUp(now, call,
-           call.sentOnce ? programs::CallResult::Unknown : programs::CallResult::NotRun, error);
+    giveUp(now, call, call.sentOnce ? programs::CallResult::Unknown : programs::CallResult::NotRun,
+           error);
 }
 
 void CallRunner::giveUp(TimePoint now, Call &call, programs::CallResult result, const Error &error)
--- a/libs/daemon/test/instance_test.cpp
+++ b/libs/daemon/test/instance_test.cpp
@@ -29,16 +29,14 @@
 
     void startProgram(const std::string &name)
     {
-        const auto started = fleet.call(
-            "x1", Fleet::callerRequest(key, "POST", "/v1/programs", {{"id", name}}));
+        const auto started =
+            fleet.call("x1", Fleet::callerRequest(key, "POST", "/v1/programs", {{"id", name}}));
         BOOST_REQUIRE(started.status == 201);
     }
 
     auto program(const std::string &name) -> nlohmann::json
     {
-        return fleet
-            .call("x2", Fleet::callerRequest(key, "GET", "/v1/programs/" + name))
-            .json();
+        return fleet.call("x2", Fleet::callerRequest(key, "GET", "/v1/programs/" + name)).json();
     }
 
     auto runsOfAllServices() -> int
@@ -79,10 +77,7 @@
     const auto first = all.fleet.send("x1", Fleet::modelCall(all.key, "p", "one", "t1"));
     const auto second = all.fleet.send("x2", Fleet::modelCall(all.key, "p", "two", "t2"));
     BOOST_REQUIRE(all.fleet.runUntil(
-        [&] {
-            return all.fleet.received(first).ended && all.fleet.received(second).ended;
-        },
-        20s));
+        [&] { return all.fleet.received(first).ended && all.fleet.received(second).ended; }, 20s));
     const auto history = all.program("p")["history"];
     BOOST_REQUIRE(history.size() == 4U);
     for (std::size_t i = 0; i < 4; i += 2) {
@@ -110,8 +105,8 @@
     all.fleet.call("x1", Fleet::callerRequest(other, "POST", "/v1/programs", {{"id", "p"}}));
     all.fleet.call("x1", Fleet::modelCall(all.key, "p", "ours", "t1"));
     all.fleet.call("x1", Fleet::modelCall(other, "p", "theirs", "t1"));
-    const auto theirs
-        = all.fleet.call("x1", Fleet::callerRequest(other, "GET", "/v1/programs/p")).json();
+    const auto theirs =
+        all.fleet.call("x1", Fleet::callerRequest(other, "GET", "/v1/programs/p")).json();
     BOOST_REQUIRE(theirs["history"].size() == 2U);
     BOOST_TEST(theirs["history"][0]["content"] == "theirs");
 }
@@ -142,10 +137,9 @@
     std::vector<heathergate::http::Token> tokens;
     for (int i = 0; i < 6; ++i) {
         const auto name = "root.child-" + std::to_string(i);
-        all.fleet.call("x1",
-                       Fleet::callerRequest(all.key, "POST", "/v1/programs", {{"id", name}}));
-        tokens.push_back(all.fleet.send(i % 2 == 0 ? "x1" : "x2",
-                                        Fleet::modelCall(all.key, name, "go", "t")));
+        all.fleet.call("x1", Fleet::callerRequest(all.key, "POST", "/v1/programs", {{"id", name}}));
+        tokens.push_back(
+            all.fleet.send(i % 2 == 0 ? "x1" : "x2", Fleet::modelCall(all.key, name, "go", "t")));
     }
     all.fleet.run(10s);
     const auto root = all.program("root");
@@ -260,13 +254,13 @@
     all.fleet.run(100ms);
     all.fleet.crash("x1");
     all.fleet.call("x2", Fleet::serviceCall(all.key, "p", "pay", "s1"));
-    const auto settled = all.fleet.call(
-        "x2", Fleet::operatorRequest("POST", "/operator/v1/settlements",
-                                     {{"customer", "pines"},
-                                      {"program", "p"},
-                                      {"call", "k-s1"},
-                                      {"ran", true},
-                                      {"answer", "{\"receipt\":\"by hand\"}"}}));
+    const auto settled =
+        all.fleet.call("x2", Fleet::operatorRequest("POST", "/operator/v1/settlements",
+                                                    {{"customer", "pines"},
+                                                     {"program", "p"},
+                                                     {"call", "k-s1"},
+                                                     {"ran", true},
+                                                     {"answer", "{\"receipt\":\"by hand\"}"}}));
     BOOST_TEST(settled.status == 204);
     const auto resent = all.fleet.call("x2", Fleet::serviceCall(all.key, "p", "pay", "s1"));
     BOOST_TEST(resent.status == 200);
@@ -279,8 +273,8 @@
     RunningFleet all(23);
     for (int i = 0; i < 6; ++i) {
         const auto call = "t" + std::to_string(i);
-        BOOST_REQUIRE(
-            all.fleet.call("x1", Fleet::modelCall(all.key, "p", call, call)).status == 200);
+        BOOST_REQUIRE(all.fleet.call("x1", Fleet::modelCall(all.key, "p", call, call)).status
+                      == 200);
         if (i == 2) {
             const auto leader = all.fleet.leaderOf(1);
             all.fleet.crash(leader);
@@ -319,8 +313,8 @@
     all.fleet.target("registrar-1").dead = true;
     for (int i = 0; i < 4; ++i) {
         const auto call = "s" + std::to_string(i);
-        BOOST_TEST(
-            all.fleet.call("x1", Fleet::serviceCall(all.key, "p", call, call)).status == 200);
+        BOOST_TEST(all.fleet.call("x1", Fleet::serviceCall(all.key, "p", call, call)).status
+                   == 200);
     }
     BOOST_TEST(all.runsOfAllServices() == 4);
 }
@@ -371,6 +365,20 @@
     BOOST_TEST(all.fleet.call("x1", Fleet::modelCall(all.key, "", "harmless", "t9")).status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(anEngineThatRunsPastItsReservationIsCut)
+{
+    RunningFleet all(36);
+    all.fleet.target("quill-1").overrunTokens = 1000;
+    all.fleet.target("quill-2").overrunTokens = 1000;
+    for (int i = 0; i < 5; ++i) {
+        const auto call = "t" + std::to_string(i);
+        const auto answered = all.fleet.call("x1", Fleet::modelCall(all.key, "p", call, call));
+        BOOST_TEST(answered.status == 200);
+        BOOST_TEST(answered.json()["usage"]["completion_tokens"].get<int>() <= 12);
+    }
+    BOOST_TEST(all.program("p")["budget"]["spent"].get<int>() <= 60);
+}
+
 BOOST_AUTO_TEST_CASE(memoryOfAnEndedProgramIsReleased)
 {
     RunningFleet all(35);
@@ -391,8 +399,7 @@
 BOOST_AUTO_TEST_CASE(ofTwoRacingEditsOneWinsAndBothAreToldTheTruth)
 {
     RunningFleet all(40);
-    const auto revision = all.fleet
-                              .call("x1", Fleet::operatorRequest("GET", "/operator/v1/table"))
+    const auto revision = all.fleet.call("x1", Fleet::operatorRequest("GET", "/operator/v1/table"))
                               .json()["rows"][0]["revision"];
     const auto edit = [&](int rate) {
         return Fleet::operatorRequest("PUT", "/operator/v1/table/pines",
@@ -413,8 +420,8 @@
 BOOST_AUTO_TEST_CASE(aResentEditGetsItsFirstAnswerEvenFromANewLeader)
 {
     RunningFleet all(41);
-    auto edit = Fleet::operatorRequest("PUT", "/operator/v1/table/gilders",
-                                       {{"revision", 0}, {"rate", 5}});
+    auto edit =
+        Fleet::operatorRequest("PUT", "/operator/v1/table/gilders", {{"revision", 0}, {"rate", 5}});
     edit.headers["x-edit-id"] = "edit-1";
     const auto first = all.fleet.call("x1", edit);
     BOOST_REQUIRE(first.status == 200);
@@ -426,8 +433,8 @@
 BOOST_AUTO_TEST_CASE(aWithdrawnKeyIsDeadEverywhereWithinFiveSeconds)
 {
     RunningFleet all(42);
-    const auto keys
-        = all.fleet.call("x1", Fleet::operatorRequest("GET", "/operator/v1/keys")).json()["keys"];
+    const auto keys =
+        all.fleet.call("x1", Fleet::operatorRequest("GET", "/operator/v1/keys")).json()["keys"];
     // One instance is cut off from the fleet and cannot learn of it.
     all.fleet.setIsolated("x2", true);
     auto streaming = Fleet::modelCall(all.key, "", "long", "");
@@ -450,8 +457,8 @@
     RunningFleet all(43);
     all.fleet.target("quill-1").silent = true;
     all.fleet.target("quill-2").silent = true;
-    const auto keys
-        = all.fleet.call("x1", Fleet::operatorRequest("GET", "/operator/v1/keys")).json()["keys"];
+    const auto keys =
+        all.fleet.call("x1", Fleet::operatorRequest("GET", "/operator/v1/keys")).json()["keys"];
     const auto running = all.fleet.send("x1", Fleet::modelCall(all.key, "", "long", ""));
     all.fleet.run(200ms);
     BOOST_TEST(!all.fleet.received(running).ended);
@@ -467,9 +474,9 @@
     RunningFleet all(44);
     all.fleet.crash("x2");
     for (int i = 0; i < 3000; ++i) {
-        all.fleet.send("x1", Fleet::operatorRequest(
-                                 "PUT", "/operator/v1/table/c" + std::to_string(i % 50),
-                                 {{"revision", i}, {"rate", i}}));
+        all.fleet.send("x1", Fleet::operatorRequest("PUT",
+                                                    "/operator/v1/table/c" + std::to_string(i % 50),
+                                                    {{"revision", i}, {"rate", i}}));
         if (i % 50 == 0)
             all.fleet.run(20ms);
     }
--- /dev/null
+++ b/libs/daemon/test/peer_session_test.cpp
@@ -0,0 +1,120 @@
+#include <boost/test/unit_test.hpp>
+
+#include <heathergate/daemon/peer_session.h>
+
+using namespace heathergate;
+using heathergate::daemon::PeerIdentity;
+using heathergate::daemon::PeerSession;
+
+namespace {
+
+auto identityOf(const std::string &name, std::vector<std::string> secrets = {"the fleet's secret"},
+                const std::string &cluster = "kumasi") -> PeerIdentity
+{
+    return {cluster, InstanceId(name), std::move(secrets)};
+}
+
+auto nonceOf(char fill) -> std::string
+{
+    return std::string(16, fill);
+}
+
+/// Carries bytes both ways until both sides are quiet. Returns the first error.
+auto shakeHands(PeerSession &left, PeerSession &right) -> std::string
+{
+    for (int i = 0; i < 4; ++i) {
+        if (const auto taken = right.receive(left.takeOutput()); !taken)
+            return taken.error().detail;
+        if (const auto taken = left.receive(right.takeOutput()); !taken)
+            return taken.error().detail;
+    }
+    return {};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PeerSessionStory)
+
+BOOST_AUTO_TEST_CASE(membersOfAFleetRecogniseEachOther)
+{
+    const auto a = identityOf("a");
+    const auto b = identityOf("b");
+    PeerSession left(a, InstanceId("b"), nonceOf('1'));
+    PeerSession right(b, std::nullopt, nonceOf('2'));
+    BOOST_TEST(shakeHands(left, right) == "");
+    BOOST_TEST(right.peer().value == "a");
+    left.send("hello");
+    left.send("again");
+    const auto bodies = right.receive(left.takeOutput());
+    BOOST_REQUIRE(bodies.has_value());
+    BOOST_TEST(*bodies == (std::vector<std::string>{"hello", "again"}),
+               boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(aStrangerIsRejected)
+{
+    const auto member = identityOf("a");
+    const auto stranger = identityOf("b", {"a guessed secret"});
+    PeerSession left(member, std::nullopt, nonceOf('1'));
+    PeerSession right(stranger, std::nullopt, nonceOf('2'));
+    BOOST_TEST(shakeHands(left, right) != "");
+    BOOST_TEST(!left.isEstablished());
+}
+
+BOOST_AUTO_TEST_CASE(anotherFleetOrAnotherInstanceIsRejected)
+{
+    const auto a = identityOf("a");
+    const auto elsewhere = identityOf("b", {"the fleet's secret"}, "prairie");
+    PeerSession one(a, std::nullopt, nonceOf('1'));
+    PeerSession two(elsewhere, std::nullopt, nonceOf('2'));
+    BOOST_TEST(shakeHands(one, two) == "the peer belongs to another fleet");
+    const auto c = identityOf("c");
+    PeerSession dialled(a, InstanceId("b"), nonceOf('1'));
+    PeerSession answered(c, std::nullopt, nonceOf('2'));
+    BOOST_TEST(shakeHands(dialled, answered) != "");
+}
+
+BOOST_AUTO_TEST_CASE(ownBytesThrownBackProveNothing)
+{
+    const auto a = identityOf("a");
+    PeerSession session(a, std::nullopt, nonceOf('1'));
+    BOOST_TEST(!session.receive(session.takeOutput()).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aSecretIsReplacedStepByStep)
+{
+    const auto onlyOld = identityOf("a", {"the old secret"});
+    const auto both = identityOf("b", {"the old secret", "the new secret"});
+    const auto turned = identityOf("c", {"the new secret", "the old secret"});
+    PeerSession one(onlyOld, std::nullopt, nonceOf('1'));
+    PeerSession two(both, std::nullopt, nonceOf('2'));
+    BOOST_TEST(shakeHands(one, two) == "");
+    PeerSession three(both, std::nullopt, nonceOf('3'));
+    PeerSession four(turned, std::nullopt, nonceOf('4'));
+    BOOST_TEST(shakeHands(three, four) == "");
+    BOOST_TEST((three.isEstablished() && four.isEstablished()));
+}
+
+BOOST_AUTO_TEST_CASE(framesChangedRepeatedOrLeftOutAreNoticed)
+{
+    const auto a = identityOf("a");
+    const auto b = identityOf("b");
+    const auto established = [&](auto tamper) {
+        PeerSession left(a, std::nullopt, nonceOf('1'));
+        PeerSession right(b, std::nullopt, nonceOf('2'));
+        BOOST_REQUIRE(shakeHands(left, right).empty());
+        left.send("first");
+        const auto first = left.takeOutput();
+        left.send("second");
+        return right.receive(tamper(first, left.takeOutput())).has_value();
+    };
+    BOOST_TEST(established([](auto one, auto two) { return one + two; }));
+    BOOST_TEST(!established([](auto one, auto) { return one + one; }));
+    BOOST_TEST(!established([](auto, auto two) { return two; }));
+    BOOST_TEST(!established([](auto one, auto two) {
+        one.back() ^= 1;
+        return one + two;
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/daemon/test/support/fleet.cpp
+++ b/libs/daemon/test/support/fleet.cpp
@@ -20,9 +20,8 @@
 
 auto chunk(const std::string &text) -> std::string
 {
-    const nlohmann::json json{
-        {"choices", nlohmann::json::array(
-                        {{{"delta", {{"content", text}}}, {"finish_reason", nullptr}}})}};
+    const nlohmann::json json{{"choices", nlohmann::json::array({{{"delta", {{"content", text}}},
+                                                                  {"finish_reason", nullptr}}})}};
     return "data: " + json.dump() + "\n\n";
 }
 
@@ -58,8 +57,7 @@
     settings.progressTimeout = std::chrono::seconds(3);
     for (const auto &disk : m_disks)
         settings.diskInstances.push_back(
-            {InstanceId(disk),
-             {"127.0.0.1", static_cast<std::uint16_t>(numberOf(disk) + 20'000)}});
+            {InstanceId(disk), {"127.0.0.1", static_cast<std::uint16_t>(numberOf(disk) + 20'000)}});
     return settings;
 }
 
@@ -78,9 +76,9 @@
         host = std::make_unique<daemon::ReplicaHost>(settings, node.disk, Random(m_random.next()),
                                                      m_clock.now());
     }
-    node.instance = std::make_unique<daemon::Instance>(
-        node.settings, node.boots + 1000 * numberOf(name), std::move(host),
-        Random(m_random.next()));
+    node.instance =
+        std::make_unique<daemon::Instance>(node.settings, node.boots + 1000 * numberOf(name),
+                                           std::move(host), Random(m_random.next()));
 }
 
 void Fleet::run(Duration time)
@@ -120,12 +118,13 @@
 {
     return runUntil(
         [this] {
-            return std::all_of(m_nodes.begin(), m_nodes.end(), [this](auto &item) {
-                auto &instance = item.second.instance;
-                return !instance || instance->entry().isReady(m_clock.now());
-            }) && std::all_of(m_targets.begin(), m_targets.end(), [](const auto &item) {
-                return item.second.incarnation != 0;
-            });
+            return std::all_of(m_nodes.begin(), m_nodes.end(),
+                               [this](auto &item) {
+                                   auto &instance = item.second.instance;
+                                   return !instance || instance->entry().isReady(m_clock.now());
+                               })
+                   && std::all_of(m_targets.begin(), m_targets.end(),
+                                  [](const auto &item) { return item.second.incarnation != 0; });
         },
         std::chrono::seconds(20));
 }
@@ -137,6 +136,7 @@
     added.address = "127.0.0.1:" + std::to_string(40'000 + numberOf(id));
     FakeEngineSettings settings;
     settings.slots = slots;
+    settings.mostAnswerTokens = 40;
     added.engine = std::make_unique<FakeEngine>(settings);
     return added;
 }
@@ -220,8 +220,8 @@
     return {};
 }
 
-auto Fleet::addCustomer(const std::string &customer, double rate, double burst,
-                        std::int64_t budget, int priority) -> std::string
+auto Fleet::addCustomer(const std::string &customer, double rate, double burst, std::int64_t budget,
+                        int priority) -> std::string
 {
     const auto &entry = m_nodes.rbegin()->first;
     call(entry, operatorRequest("PUT", "/operator/v1/table/" + customer,
@@ -230,8 +230,8 @@
                                  {"burst", burst},
                                  {"budget", budget},
                                  {"priority", priority}}));
-    const auto given
-        = call(entry, operatorRequest("POST", "/operator/v1/keys", {{"customer", customer}}));
+    const auto given =
+        call(entry, operatorRequest("POST", "/operator/v1/keys", {{"customer", customer}}));
     run(std::chrono::milliseconds(50));
     return given.json().value("key", "");
 }
@@ -259,10 +259,9 @@
     -> http::Request
 {
     const nlohmann::json message{{"role", "user"}, {"content", content}};
-    auto request = callerRequest(key, "POST", "/v1/chat/completions",
-                                 {{"model", "quill"},
-                                  {"max_tokens", 12},
-                                  {"messages", nlohmann::json::array({message})}});
+    auto request = callerRequest(
+        key, "POST", "/v1/chat/completions",
+        {{"model", "quill"}, {"max_tokens", 12}, {"messages", nlohmann::json::array({message})}});
     if (!program.empty())
         request.headers["x-program-id"] = program;
     if (!idempotencyKey.empty())
@@ -274,8 +273,8 @@
                         const std::string &content, const std::string &idempotencyKey)
     -> http::Request
 {
-    auto request = callerRequest(key, "POST", "/v1/services/registrar/charge",
-                                 {{"content", content}});
+    auto request =
+        callerRequest(key, "POST", "/v1/services/registrar/charge", {{"content", content}});
     if (!program.empty())
         request.headers["x-program-id"] = program;
     if (!idempotencyKey.empty())
@@ -429,6 +428,8 @@
     work.program = body.value("program", "");
     work.prompt = promptOf(body["messages"]);
     work.maxTokens = body.value("max_tokens", 16);
+    if (target.overrunTokens > 0)
+        work.maxTokens = target.overrunTokens;
     work.priority = body.value("priority", 0);
     m_exchanges.push_back({name, node.boots, request.id, target.id, work.id});
     m_events.emplace(m_clock.now() + kNetworkTime,
@@ -442,15 +443,15 @@
         if (!target.engine || target.silent)
             continue;
         for (const auto &event : target.engine->advance(m_clock.now())) {
-            const auto exchange
-                = std::find_if(m_exchanges.begin(), m_exchanges.end(),
-                               [&](const auto &item) { return item.engineId == event.id; });
+            const auto exchange =
+                std::find_if(m_exchanges.begin(), m_exchanges.end(),
+                             [&](const auto &item) { return item.engineId == event.id; });
             if (exchange == m_exchanges.end())
                 continue;
             const auto push = [&](const auto &what) {
-                m_events.emplace(m_clock.now() + kNetworkTime,
-                                 TimedEvent{exchange->node, exchange->bootOf,
-                                            {exchange->id, what}});
+                m_events.emplace(
+                    m_clock.now() + kNetworkTime,
+                    TimedEvent{exchange->node, exchange->bootOf, {exchange->id, what}});
             };
             push(http::AnswerData{chunk(event.token)});
             if (!event.finished)
@@ -458,8 +459,8 @@
             const nlohmann::json usage{{"prompt_tokens", event.promptTokens},
                                        {"completion_tokens", event.completionTokens},
                                        {"cached_tokens", event.cachedTokens}};
-            push(http::AnswerData{
-                "data: " + nlohmann::json{{"usage", usage}}.dump() + "\n\ndata: [DONE]\n\n"});
+            push(http::AnswerData{"data: " + nlohmann::json{{"usage", usage}}.dump()
+                                  + "\n\ndata: [DONE]\n\n"});
             push(http::AnswerEnd{true, true, ""});
             m_exchanges.erase(exchange);
         }
@@ -470,9 +471,8 @@
 {
     if (m_clock.now() < m_nextRenewal)
         return;
-    const auto all = std::all_of(m_targets.begin(), m_targets.end(), [](const auto &item) {
-        return item.second.incarnation != 0;
-    });
+    const auto all = std::all_of(m_targets.begin(), m_targets.end(),
+                                 [](const auto &item) { return item.second.incarnation != 0; });
     m_nextRenewal = m_clock.now() + (all ? kRenewInterval : Duration(200'000));
     for (auto &[id, target] : m_targets) {
         if (target.dead || !target.announced)
@@ -491,11 +491,10 @@
         for (const auto &[name, node] : m_nodes) {
             if (!node.instance || node.frozen)
                 continue;
-            const auto token
-                = send(name, callerRequest(kUpstreamToken, "POST",
-                                           announce ? "/upstream/v1/announce"
-                                                    : "/upstream/v1/renew",
-                                           body));
+            const auto token =
+                send(name, callerRequest(kUpstreamToken, "POST",
+                                         announce ? "/upstream/v1/announce" : "/upstream/v1/renew",
+                                         body));
             if (announce)
                 m_announcements[token] = id;
             break;
--- a/libs/daemon/test/support/fleet.h
+++ b/libs/daemon/test/support/fleet.h
@@ -51,6 +51,8 @@
     std::string cutOn;
     /// Never answers.
     bool silent = false;
+    /// Produces this many tokens whatever it was asked for; 0 obeys.
+    std::int64_t overrunTokens = 0;
     /// Time a service call takes.
     Duration serviceTime = std::chrono::milliseconds(5);
     bool announced = true;
--- a/libs/limits/include/heathergate/limits/bucket_ledger.h
+++ b/libs/limits/include/heathergate/limits/bucket_ledger.h
@@ -52,11 +52,13 @@
 
 struct AllowanceReply
 {
+    /// Incarnation that asked; the allowance is of no use to any other.
+    std::uint64_t incarnation = 0;
     std::int64_t sentAt = 0;
     std::vector<AllowanceGrant> grants;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AllowanceReply, sentAt, grants)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AllowanceReply, incarnation, sentAt, grants)
 
 /// The buckets of the customers that a replicated group owns. Every replica applies the same
 /// requests at the same group times, so a new leader goes on with the exact state.
--- a/libs/limits/src/allowance_client.cpp
+++ b/libs/limits/src/allowance_client.cpp
@@ -42,6 +42,8 @@
 auto AllowanceClient::receive(TimePoint now, const AllowanceReply &reply) -> std::vector<CustomerId>
 {
     std::vector<CustomerId> customers;
+    if (reply.incarnation != m_incarnation)
+        return customers;
     const TimePoint sentAt{Duration(reply.sentAt)};
     for (const auto &grant : reply.grants) {
         const auto found = m_accounts.find(grant.customer);
--- a/libs/limits/src/bucket_ledger.cpp
+++ b/libs/limits/src/bucket_ledger.cpp
@@ -68,6 +68,7 @@
 auto BucketLedger::apply(GroupTime now, const AllowanceRequest &request) -> AllowanceReply
 {
     AllowanceReply reply;
+    reply.incarnation = request.incarnation;
     reply.sentAt = request.sentAt;
     const auto holder = request.instance.value + "#" + std::to_string(request.incarnation);
     for (const auto &item : request.items)
--- a/libs/programs/src/program_ledger.cpp
+++ b/libs/programs/src/program_ledger.cpp
@@ -241,8 +241,9 @@
             program.active = CallId();
         return {};
     }
+    // Instances cut what runs past its reservation, so no program pays for more than that.
+    root.spent += std::clamp<std::int64_t>(finish.used, 0, record.reserved);
     release(program, root, record);
-    root.spent += finish.used;
     record.state = CallState::Completed;
     record.status = finish.status;
     record.contentType = finish.contentType;
--- /dev/null
+++ b/libs/routing/test/routing_test.cpp
@@ -0,0 +1,158 @@
+#include <boost/test/unit_test.hpp>
+
+#include <heathergate/routing/routing.h>
+
+using namespace heathergate;
+using namespace heathergate::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow(1h);
+
+auto itemOf(std::uint64_t request, const std::string &customer, int priority = 0, double weight = 1)
+    -> WorkItem
+{
+    WorkItem item;
+    item.request = request;
+    item.customer = CustomerId(customer);
+    item.priority = priority;
+    item.weight = weight;
+    item.cost = 10;
+    item.arrivedAt = kNow;
+    item.deadline = kNow + 10s;
+    return item;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkQueueStory)
+
+BOOST_AUTO_TEST_CASE(aHigherClassGoesFirstAlways)
+{
+    WorkQueue queue(100);
+    for (std::uint64_t i = 0; i < 10; ++i)
+        BOOST_REQUIRE(queue.push(itemOf(i, "forms", 1)));
+    BOOST_REQUIRE(queue.push(itemOf(99, "alerts", 0)));
+    BOOST_TEST(queue.pop(kNow)->request == 99U);
+}
+
+BOOST_AUTO_TEST_CASE(customersShareAClassByWeightHoweverMuchOneSends)
+{
+    WorkQueue queue(1000);
+    for (std::uint64_t i = 0; i < 400; ++i)
+        BOOST_REQUIRE(queue.push(itemOf(i, "loud")));
+    for (std::uint64_t i = 0; i < 100; ++i)
+        BOOST_REQUIRE(queue.push(itemOf(1000 + i, "double", 0, 2)));
+    int ofDouble = 0;
+    for (int i = 0; i < 90; ++i)
+        ofDouble += queue.pop(kNow)->customer.value == "double" ? 1 : 0;
+    BOOST_TEST(ofDouble >= 59);
+    BOOST_TEST(ofDouble <= 61);
+}
+
+BOOST_AUTO_TEST_CASE(aProgramWithLittleServiceGoesFirstButNoneWaitsForEver)
+{
+    WorkQueue queue(100);
+    auto old = itemOf(1, "pines");
+    old.attained = 5000;
+    auto young = itemOf(2, "pines");
+    BOOST_REQUIRE(queue.push(old));
+    BOOST_REQUIRE(queue.push(young));
+    BOOST_TEST(queue.pop(kNow)->request == 2U);
+    young.request = 3;
+    young.arrivedAt = kNow + 11s;
+    BOOST_REQUIRE(queue.push(young));
+    BOOST_TEST(queue.pop(kNow + 11s)->request == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aFullQueueRefusesAndExpiredItemsLeave)
+{
+    WorkQueue queue(1);
+    BOOST_REQUIRE(queue.push(itemOf(1, "pines")));
+    BOOST_TEST(!queue.push(itemOf(2, "pines")));
+    BOOST_TEST(queue.takeExpired(kNow + 9s).empty());
+    BOOST_TEST(queue.takeExpired(kNow + 10s).size() == 1U);
+    BOOST_TEST(queue.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RouterStory)
+
+namespace {
+
+auto targetOf(const std::string &id, std::uint64_t incarnation = 1) -> Target
+{
+    return {UpstreamId(id), incarnation, FailureDomainId("a"), {"model:quill"}, 2, 1000, false};
+}
+
+auto queryOf(std::vector<PromptPrefixes::Prefix> prefixes = {}) -> RouteQuery
+{
+    RouteQuery query;
+    query.lane = "model:quill";
+    query.prompt.prefixes = std::move(prefixes);
+    return query;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aPromptGoesBackToTheCacheThatHoldsIt)
+{
+    Router<PrefixAffinity> router(FailureDomainId("a"));
+    router.setTargets({targetOf("q1"), targetOf("q2"), targetOf("q3")});
+    Random random(1);
+    router.dispatched(UpstreamId("q2"), queryOf({{7, 100}}).prompt);
+    router.finished(kNow, UpstreamId("q2"), 1, true);
+    BOOST_TEST(router.choose(kNow, queryOf({{7, 100}, {8, 120}}), random)->value == "q2");
+}
+
+BOOST_AUTO_TEST_CASE(aFullUpstreamGetsNothingMore)
+{
+    Router<PrefixAffinity> router(FailureDomainId("a"));
+    router.setTargets({targetOf("q1")});
+    Random random(1);
+    router.dispatched(UpstreamId("q1"), {});
+    BOOST_TEST(router.choose(kNow, queryOf(), random).has_value());
+    router.dispatched(UpstreamId("q1"), {});
+    BOOST_TEST(!router.choose(kNow, queryOf(), random).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(reportsOfOtherInstancesLoadCountUntilTheyAreOld)
+{
+    Router<PrefixAffinity> router(FailureDomainId("a"));
+    router.setTargets({targetOf("q1")});
+    Random random(1);
+    router.reportLoad(kNow, UpstreamId("q1"), 2);
+    BOOST_TEST(!router.choose(kNow + 1s, queryOf(), random).has_value());
+    BOOST_TEST(router.choose(kNow + 6s, queryOf(), random).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(drainingAndFailingUpstreamsAreAvoided)
+{
+    Router<PrefixAffinity> router(FailureDomainId("a"));
+    auto draining = targetOf("q1");
+    draining.draining = true;
+    router.setTargets({draining, targetOf("q2"), targetOf("q3")});
+    Random random(1);
+    for (int i = 0; i < 3; ++i)
+        router.finished(kNow, UpstreamId("q2"), 1, false);
+    for (int i = 0; i < 20; ++i)
+        BOOST_TEST(router.choose(kNow, queryOf(), random)->value == "q3");
+    // After its pause it is let in again.
+    BOOST_TEST(router.choose(kNow + 2s, queryOf(), random).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aNewIncarnationStartsWithoutThePast)
+{
+    Router<PrefixAffinity> router(FailureDomainId("a"));
+    router.setTargets({targetOf("q1", 1)});
+    router.dispatched(UpstreamId("q1"), {});
+    router.dispatched(UpstreamId("q1"), {});
+    router.setTargets({targetOf("q1", 2)});
+    BOOST_TEST(router.inFlight(UpstreamId("q1")) == 0);
+    router.finished(kNow, UpstreamId("q1"), 1, false);
+    BOOST_TEST(router.inFlight(UpstreamId("q1")) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Installs packages, builds, and runs all the tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install-packages.sh
+cmake --preset release -DHEATHERGATE_TESTS=ON >/dev/null
+cmake --build --preset release
+ctest --preset release
+HEATHERGATE=$PWD/build/release/heathergate scripts/process-test.sh
