--- a/libs/control/src/control_state.cpp
+++ b/libs/control/src/control_state.cpp
@@ -20,7 +20,7 @@
             if constexpr (requires { item.editId; }) {
                 if (const auto *first = rememberedOutcome(item.editId))
                     return *first;
-                const auto outcome = applyOne(item);
+                auto outcome = applyOne(item);
                 remember(item.editId, outcome);
                 return outcome;
             } else {
--- a/libs/daemon/src/replica_host_shards.cpp
+++ b/libs/daemon/src/replica_host_shards.cpp
@@ -13,7 +13,8 @@
 {
     if (group.ledger.needsSweep(group.replica.groupTime(now)))
         proposeProgram(now, group, programs::Sweep{});
-    for (const auto &[instance, incarnation] : group.ledger.instancesWithCalls()) {
+    for (const auto &[sender, calls] : group.ledger.runningCalls()) {
+        const auto &[instance, incarnation] = sender;
         const auto record = m_control.instances().find(instance);
         const auto alive = record != m_control.instances().end() && !record->second.failed
                            && record->second.incarnation == incarnation;
@@ -21,7 +22,7 @@
         if (!alive && m_control.revision() >= incarnation)
             proposeProgram(now, group, programs::InstanceGone{instance, incarnation});
     }
-    for (const auto &holder : group.ledger.holders()) {
+    for (const auto &[holder, held] : group.ledger.holders()) {
         const auto record = m_control.upstreams().find(holder.upstream);
         const auto alive = record != m_control.upstreams().end()
                            && record->second.incarnation == holder.incarnation;
--- a/libs/programs/include/heathergate/programs/program_ledger.h
+++ b/libs/programs/include/heathergate/programs/program_ledger.h
@@ -27,6 +27,12 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(MemoryHolder, upstream, incarnation)
 };
 
+/// An incarnation of an instance that sends calls.
+using SenderId = std::pair<InstanceId, std::uint64_t>;
+
+/// Where a call's record stands.
+using CallPlace = std::pair<ProgramKey, CallId>;
+
 /// A call of a program, kept for resends.
 struct CallRecord
 {
@@ -100,12 +106,22 @@
     {
         return m_releases;
     }
-    /// Returns whether a `Sweep` at `now` would change anything.
-    [[nodiscard]] auto needsSweep(GroupTime now) const -> bool;
-    /// Returns the incarnations of instances that have running calls.
-    [[nodiscard]] auto instancesWithCalls() const -> std::set<std::pair<InstanceId, std::uint64_t>>;
-    /// Returns the incarnations of upstreams that hold memory or owe a release.
-    [[nodiscard]] auto holders() const -> std::set<MemoryHolder>;
+    /// Returns whether a `Sweep` at `now` may change anything.
+    [[nodiscard]] auto needsSweep(GroupTime now) const -> bool
+    {
+        return now >= m_nextSweep;
+    }
+    /// Returns the running calls of each incarnation of an instance.
+    [[nodiscard]] auto runningCalls() const -> const std::map<SenderId, std::set<CallPlace>> &
+    {
+        return m_running;
+    }
+    /// Returns the incarnations of upstreams that hold memory or owe a release, with the programs
+    /// concerned.
+    [[nodiscard]] auto holders() const -> const std::map<MemoryHolder, std::set<ProgramKey>> &
+    {
+        return m_holders;
+    }
     [[nodiscard]] auto programCount() const -> std::size_t
     {
         return m_programs.size();
@@ -132,6 +148,13 @@
         -> Result<void>;
     [[nodiscard]] auto started(Program &program, CallRecord &record, const BeginCall &begin)
         -> ProgramOutcome;
+    void setState(const CallPlace &place, CallRecord &record, CallState state);
+    void addHolder(const ProgramKey &key, Program &program, const MemoryHolder &holder);
+    void dropHolderEntry(const ProgramKey &key, const MemoryHolder &holder);
+    void dropFromIndexes(const ProgramKey &key, Program &program);
+    void expectSweep(GroupTime at);
+    [[nodiscard]] static auto nextExpiry(const Program &program) -> GroupTime;
+    void rebuildIndexes();
     void supersedeInterrupted(Program &program, Program &root);
     void release(Program &program, Program &root, CallRecord &record);
     void releaseMemory(const ProgramKey &key, Program &program);
@@ -142,6 +165,11 @@
     std::map<ProgramKey, Program> m_programs;
     std::set<PendingRelease> m_releases;
     limits::BucketLedger m_buckets;
+
+    // Derived from the programs, so that leaders need not search them.
+    std::map<SenderId, std::set<CallPlace>> m_running;
+    std::map<MemoryHolder, std::set<ProgramKey>> m_holders;
+    GroupTime m_nextSweep{};
 };
 
 } // namespace heathergate::programs
--- a/libs/programs/src/program_ledger.cpp
+++ b/libs/programs/src/program_ledger.cpp
@@ -79,6 +79,7 @@
     program.startId = start.startId;
     program.startedAt = now;
     program.lastActivity = now;
+    expectSweep(nextExpiry(program));
     m_programs.emplace(start.key, std::move(program));
     return {};
 }
@@ -89,6 +90,8 @@
         Program holder;
         holder.limits.idle = kRetention;
         holder.startedAt = now;
+        holder.lastActivity = now;
+        expectSweep(nextExpiry(holder));
         m_programs.emplace(begin.key, std::move(holder));
     }
     const auto found = m_programs.find(begin.key);
@@ -191,8 +194,9 @@
 auto ProgramLedger::started(Program &program, CallRecord &record, const BeginCall &begin)
     -> ProgramOutcome
 {
-    record.state = CallState::Running;
+    setState({begin.key, begin.call}, record, CallState::Interrupted);
     record.placement = begin.placement;
+    setState({begin.key, begin.call}, record, CallState::Running);
     ++record.attempt;
     ProgramOutcome outcome;
     outcome.attempt = record.attempt;
@@ -200,8 +204,7 @@
     if (record.kind != CallKind::Model)
         return outcome;
     const MemoryHolder holder{begin.placement.upstream, begin.placement.upstreamIncarnation};
-    std::erase(program.holders, holder);
-    program.holders.push_back(holder);
+    addHolder(begin.key, program, holder);
     outcome.history = historyOf(program);
     return outcome;
 }
@@ -229,6 +232,7 @@
     root.lastActivity = now;
     if (finish.result == CallResult::NotRun) {
         release(program, root, record);
+        setState({finish.key, finish.call}, record, CallState::Interrupted);
         if (record.kind == CallKind::Model)
             --program.turns;
         program.calls.erase(known);
@@ -236,7 +240,8 @@
     }
     if (finish.result == CallResult::Unknown) {
         // What it may have used stays reserved, so that the budget holds in either case.
-        record.state = record.idempotent ? CallState::Interrupted : CallState::Unknown;
+        setState({finish.key, finish.call}, record,
+                 record.idempotent ? CallState::Interrupted : CallState::Unknown);
         if (record.state == CallState::Unknown && program.active == finish.call)
             program.active = CallId();
         return {};
@@ -244,7 +249,7 @@
     // Instances cut what runs past its reservation, so no program pays for more than that.
     root.spent += std::clamp<std::int64_t>(finish.used, 0, record.reserved);
     release(program, root, record);
-    record.state = CallState::Completed;
+    setState({finish.key, finish.call}, record, CallState::Completed);
     record.status = finish.status;
     record.contentType = finish.contentType;
     record.answer = finish.answer;
@@ -293,37 +298,47 @@
 
 auto ProgramLedger::applyOne(GroupTime, const InstanceGone &gone) -> ProgramOutcome
 {
-    for (auto &[key, program] : m_programs) {
-        for (auto &[id, record] : program.calls) {
-            if (record.state != CallState::Running || record.placement.instance != gone.instance
-                || record.placement.instanceIncarnation != gone.incarnation)
-                continue;
-            record.state = record.idempotent ? CallState::Interrupted : CallState::Unknown;
-            if (record.state == CallState::Unknown && program.active == id)
-                program.active = CallId();
-        }
+    const auto found = m_running.find({gone.instance, gone.incarnation});
+    if (found == m_running.end())
+        return {};
+    for (const auto &place : std::set<CallPlace>(found->second)) {
+        auto &program = m_programs.at(place.first);
+        auto &record = program.calls.at(place.second);
+        setState(place, record, record.idempotent ? CallState::Interrupted : CallState::Unknown);
+        if (record.state == CallState::Unknown && program.active == place.second)
+            program.active = CallId();
     }
     return {};
 }
 
 auto ProgramLedger::applyOne(GroupTime, const ReleaseDone &done) -> ProgramOutcome
 {
-    m_releases.erase({done.key, {done.upstream, done.upstreamIncarnation}});
+    const MemoryHolder holder{done.upstream, done.upstreamIncarnation};
+    m_releases.erase({done.key, holder});
+    dropHolderEntry(done.key, holder);
     return {};
 }
 
 auto ProgramLedger::applyOne(GroupTime, const UpstreamGone &gone) -> ProgramOutcome
 {
     const MemoryHolder holder{gone.upstream, gone.incarnation};
-    std::erase_if(m_releases, [&](const auto &item) { return item.holder == holder; });
-    for (auto &[key, program] : m_programs)
-        std::erase(program.holders, holder);
+    const auto found = m_holders.find(holder);
+    if (found == m_holders.end())
+        return {};
+    for (const auto &key : found->second) {
+        m_releases.erase({key, holder});
+        if (const auto program = m_programs.find(key); program != m_programs.end())
+            std::erase(program->second.holders, holder);
+    }
+    m_holders.erase(found);
     return {};
 }
 
 auto ProgramLedger::applyOne(GroupTime now, const Sweep &) -> ProgramOutcome
 {
+    constexpr Duration kLongestPause = std::chrono::minutes(10);
     m_buckets.forgetIdle(now);
+    m_nextSweep = now + kLongestPause;
     for (auto item = m_programs.begin(); item != m_programs.end();) {
         auto &program = item->second;
         const auto reason = expiryReason(program, now);
@@ -332,6 +347,10 @@
         const auto isRoot = rootOf(item->first) == item->first;
         const auto forget =
             isRoot ? isPastRetention(program, now) : !m_programs.contains(rootOf(item->first));
+        if (forget)
+            dropFromIndexes(item->first, program);
+        else
+            expectSweep(nextExpiry(program));
         item = forget ? m_programs.erase(item) : std::next(item);
     }
     return {};
@@ -345,34 +364,89 @@
     return outcome;
 }
 
-auto ProgramLedger::needsSweep(GroupTime now) const -> bool
+void ProgramLedger::setState(const CallPlace &place, CallRecord &record, CallState state)
 {
-    return std::any_of(m_programs.begin(), m_programs.end(), [&](const auto &item) {
-        return !expiryReason(item.second, now).empty()
-               || (rootOf(item.first) == item.first && isPastRetention(item.second, now));
-    });
+    const SenderId sender{record.placement.instance, record.placement.instanceIncarnation};
+    if (record.state == CallState::Running) {
+        const auto calls = m_running.find(sender);
+        if (calls != m_running.end())
+            calls->second.erase(place);
+        if (calls != m_running.end() && calls->second.empty())
+            m_running.erase(calls);
+    }
+    record.state = state;
+    if (state == CallState::Running)
+        m_running[sender].insert(place);
 }
 
-auto ProgramLedger::instancesWithCalls() const -> std::set<std::pair<InstanceId, std::uint64_t>>
+void ProgramLedger::addHolder(const ProgramKey &key, Program &program, const MemoryHolder &holder)
 {
-    std::set<std::pair<InstanceId, std::uint64_t>> found;
+    std::erase(program.holders, holder);
+    program.holders.push_back(holder);
+    m_holders[holder].insert(key);
+}
+
+void ProgramLedger::dropHolderEntry(const ProgramKey &key, const MemoryHolder &holder)
+{
+    const auto program = m_programs.find(key);
+    const auto stillHeld =
+        program != m_programs.end()
+        && std::find(program->second.holders.begin(), program->second.holders.end(), holder)
+               != program->second.holders.end();
+    const auto found = m_holders.find(holder);
+    if (stillHeld || found == m_holders.end())
+        return;
+    found->second.erase(key);
+    if (found->second.empty())
+        m_holders.erase(found);
+}
+
+void ProgramLedger::dropFromIndexes(const ProgramKey &key, Program &program)
+{
+    for (auto &[id, record] : program.calls) {
+        if (record.state == CallState::Running)
+            setState({key, id}, record, CallState::Interrupted);
+    }
+    const auto holders = std::exchange(program.holders, {});
+    for (const auto &holder : holders) {
+        if (!m_releases.contains({key, holder}))
+            dropHolderEntry(key, holder);
+    }
+}
+
+void ProgramLedger::expectSweep(GroupTime at)
+{
+    m_nextSweep = std::min(m_nextSweep, at);
+}
+
+auto ProgramLedger::nextExpiry(const Program &program) -> GroupTime
+{
+    if (program.status != ProgramStatus::Active)
+        return program.lastActivity + kRetention;
+    auto next = GroupTime::max();
+    if (program.limits.lifetime > Duration::zero())
+        next = std::min(next, program.startedAt + program.limits.lifetime);
+    if (program.limits.idle > Duration::zero())
+        next = std::min(next, program.lastActivity + program.limits.idle);
+    return next;
+}
+
+void ProgramLedger::rebuildIndexes()
+{
+    m_running.clear();
+    m_holders.clear();
+    m_nextSweep = GroupTime::zero();
     for (const auto &[key, program] : m_programs) {
         for (const auto &[id, record] : program.calls) {
             if (record.state == CallState::Running)
-                found.emplace(record.placement.instance, record.placement.instanceIncarnation);
+                m_running[{record.placement.instance, record.placement.instanceIncarnation}].insert(
+                    {key, id});
         }
+        for (const auto &holder : program.holders)
+            m_holders[holder].insert(key);
     }
-    return found;
-}
-
-auto ProgramLedger::holders() const -> std::set<MemoryHolder>
-{
-    std::set<MemoryHolder> found;
     for (const auto &item : m_releases)
-        found.insert(item.holder);
-    for (const auto &[key, program] : m_programs)
-        found.insert(program.holders.begin(), program.holders.end());
-    return found;
+        m_holders[item.holder].insert(item.key);
 }
 
 void ProgramLedger::release(Program &program, Program &root, CallRecord &record)
@@ -402,6 +476,7 @@
     program.status = status;
     program.endReason = std::move(reason);
     program.lastActivity = now;
+    expectSweep(nextExpiry(program));
     releaseMemory(key, program);
     if (rootOf(key) != key)
         return;
@@ -446,6 +521,7 @@
         ledger.m_programs.emplace(item.at(0).get<ProgramKey>(), item.at(1).get<Program>());
     json.at("releases").get_to(ledger.m_releases);
     json.at("buckets").get_to(ledger.m_buckets);
+    ledger.rebuildIndexes();
 }
 
 } // namespace heathergate::programs
--- a/libs/programs/test/program_ledger_test.cpp
+++ b/libs/programs/test/program_ledger_test.cpp
@@ -152,6 +152,7 @@
     ledger.apply(0s, beginOf("a"));
     ledger.apply(0s, finishOf("a", 1));
     BOOST_TEST((codeOf(ledger.apply(0s, beginOf("b"))) == Code::TurnLimit));
+    ledger.apply(1s, Sweep{});
     BOOST_TEST(!ledger.needsSweep(2s));
     BOOST_TEST(ledger.needsSweep(4s));
     ledger.apply(4s, Sweep{});
@@ -200,6 +201,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenProgramsArePastTheirRetention)
+
+BOOST_AUTO_TEST_CASE(theyAreForgottenWithTheirSubAgentsAndRunningCalls)
+{
+    ProgramLedger ledger;
+    start(ledger);
+    const ProgramKey child{CustomerId("pines"), ProgramId("p.child")};
+    ledger.apply(0s, StartProgram{child, {}, "start"});
+    ledger.apply(0s, beginOf("never ends"));
+    ledger.apply(1s, EndProgram{kProgram});
+    ledger.apply(kRetention + 2s, Sweep{});
+    BOOST_TEST(ledger.programCount() == 0U);
+    BOOST_TEST(ledger.runningCalls().empty());
+    ledger.apply(kRetention + 3s, InstanceGone{InstanceId("x"), 1});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(UnderRandomCommands)
 
 /// Commands in any order, doubled and late: the budget holds, no call completes twice, nothing
@@ -251,6 +270,13 @@
         const auto *program = ledger.find(kProgram);
         RC_ASSERT(program->spent + program->reserved <= 60);
         RC_ASSERT(program->reserved >= 0);
+        std::size_t running = 0;
+        for (const auto &[id, record] : program->calls)
+            running += record.state == CallState::Running ? 1 : 0;
+        std::size_t indexed = 0;
+        for (const auto &[sender, calls] : ledger.runningCalls())
+            indexed += calls.size();
+        RC_ASSERT(running == indexed);
     }
     const auto copy = decode<ProgramLedger>(encode(ledger));
     RC_ASSERT(copy.has_value());
--- /dev/null
+++ b/libs/telemetry/include/heathergate/telemetry/latency_histogram.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <heathergate/core/time.h>
+
+#include <cstdint>
+#include <map>
+
+namespace heathergate::telemetry {
+
+/// A histogram of times with a relative error of at most 1/32 over all magnitudes, in the manner
+/// of HdrHistogram (Tene, 2012): each power of two is divided into 32 buckets.
+class LatencyHistogram
+{
+public:
+    /// Adds a time; negative ones count as zero.
+    void record(Duration value);
+    /// Returns the time that the given share of samples, from 0 to 1, does not exceed.
+    [[nodiscard]] auto quantile(double share) const -> Duration;
+    [[nodiscard]] auto count() const -> std::uint64_t
+    {
+        return m_count;
+    }
+    [[nodiscard]] auto mean() const -> Duration
+    {
+        return m_count == 0 ? Duration::zero() : m_sum / static_cast<std::int64_t>(m_count);
+    }
+    [[nodiscard]] auto max() const -> Duration
+    {
+        return m_max;
+    }
+
+private:
+    [[nodiscard]] static auto bucketOf(std::uint64_t micros) -> std::uint32_t;
+    [[nodiscard]] static auto upperBound(std::uint32_t bucket) -> std::uint64_t;
+
+    std::map<std::uint32_t, std::uint64_t> m_buckets;
+    std::uint64_t m_count = 0;
+    Duration m_sum{};
+    Duration m_max{};
+};
+
+} // namespace heathergate::telemetry
--- a/libs/telemetry/include/heathergate/telemetry/telemetry.h
+++ b/libs/telemetry/include/heathergate/telemetry/telemetry.h
@@ -1,5 +1,6 @@
 #pragma once
 
 /// Umbrella header of the telemetry library: metrics and logs.
+#include <heathergate/telemetry/latency_histogram.h>
 #include <heathergate/telemetry/logging.h>
 #include <heathergate/telemetry/metrics.h>
