--- a/apps/heathergate/commands.h
+++ b/apps/heathergate/commands.h
@@ -18,6 +18,7 @@
 [[nodiscard]] auto runProgram(const Arguments &arguments) -> int;
 [[nodiscard]] auto runInstances(const Arguments &arguments) -> int;
 [[nodiscard]] auto runReplica(const Arguments &arguments) -> int;
+[[nodiscard]] auto runReplay(const Arguments &arguments) -> int;
 [[nodiscard]] auto runLoadCommand(const Arguments &arguments) -> int;
 [[nodiscard]] auto runFakeUpstream(const Arguments &arguments) -> int;
 
--- a/apps/heathergate/main.cpp
+++ b/apps/heathergate/main.cpp
@@ -27,6 +27,7 @@
         {"program", {&runProgram, "shows a program, settles a call"}},
         {"instances", {&runInstances, "lists the fleet's instances"}},
         {"replica", {&runReplica, "shows groups, replaces a replica"}},
+        {"replay", {&runReplay, "runs a recorded trace against stated outcomes"}},
         {"load", {&runLoadCommand, "sends requests at a fixed rate and reports times"}},
         {"fake-upstream", {&runFakeUpstream, "runs a stand-in for an engine or a service"}},
     };
--- /dev/null
+++ b/apps/heathergate/replay_command.cpp
@@ -0,0 +1,101 @@
+#include "options.h"
+
+#include <heathergate/replay/replay.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace heathergate::app {
+
+namespace po = boost::program_options;
+
+namespace {
+
+auto generated(const po::variables_map &values) -> Result<replay::Trace>
+{
+    const auto name = values["generate"].as<std::string>();
+    replay::DaySettings settings;
+    if (name == "pinesreg-evening")
+        settings.day = replay::Day::PinesregEvening;
+    else if (name == "pinesreg-staff-week")
+        settings.day = replay::Day::PinesregStaffWeek;
+    else if (name == "kumasi-quotes")
+        settings.day = replay::Day::KumasiQuotes;
+    else
+        return fail(Code::BadRequest, "--generate: must be pinesreg-evening, pinesreg-staff-week "
+                                      "or kumasi-quotes");
+    settings.seed = values["seed"].as<std::uint64_t>();
+    settings.length = Duration(static_cast<std::int64_t>(values["seconds"].as<double>() * 1e6));
+    settings.arrivals = values["arrivals"].as<double>();
+    settings.loudFactor = values["loud"].as<double>();
+    settings.failures = values.count("failures") > 0;
+    if (settings.arrivals <= 0 || settings.length <= Duration::zero())
+        return fail(Code::BadRequest, "--arrivals and --seconds: must be above 0");
+    return replay::generateDay(settings);
+}
+
+auto traceFrom(const po::variables_map &values) -> Result<replay::Trace>
+{
+    if (values.count("generate") > 0)
+        return generated(values);
+    const auto file = values["trace"].as<std::string>();
+    std::ifstream stream(file);
+    if (!stream)
+        return fail(Code::BadRequest, "cannot read " + file);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return replay::parseTrace(text.str());
+}
+
+void addOptions(OptionParser &parser)
+{
+    parser.add()("trace", po::value<std::string>()->default_value(""), "Trace file (JSON lines)")(
+        "generate", po::value<std::string>(),
+        "Generates a day: pinesreg-evening, pinesreg-staff-week or kumasi-quotes")(
+        "seed", po::value<std::uint64_t>()->default_value(1), "Seed")(
+        "seconds", po::value<double>()->default_value(60), "Length of a generated day")(
+        "arrivals", po::value<double>()->default_value(2), "Programs started a second")(
+        "loud", po::value<double>()->default_value(1), "One customer sends so many times its rate")(
+        "failures", "Adds failures of engines and instances")(
+        "print", "Prints the trace instead of running it")("no-naive",
+                                                           "Runs the product alone")(
+        "json", "Prints the report as JSON")("svg", po::value<std::string>(),
+                                             "Writes the latencies as a picture to this file");
+    parser.positional("trace", 1);
+}
+
+} // namespace
+
+auto runReplay(const Arguments &arguments) -> int
+{
+    OptionParser parser("replay TRACE | replay --generate DAY",
+                        "Runs a trace on whole instances under a paused clock, checks its stated "
+                        "outcomes, and compares with a naive version. Exits with 1 if an outcome "
+                        "did not come about.");
+    addOptions(parser);
+    const auto values = parser.parse(arguments);
+    if (!values)
+        return parser.status();
+    const auto trace = traceFrom(*values);
+    if (!trace)
+        return report(trace.error().detail);
+    if (values->count("print") > 0) {
+        std::cout << replay::renderTrace(*trace);
+        return 0;
+    }
+    std::vector<replay::ReplayReport> reports;
+    replay::FleetBackend fleet(*trace, (*values)["seed"].as<std::uint64_t>());
+    reports.push_back(replay::Replayer("heathergate", *trace, fleet).run());
+    if (values->count("no-naive") == 0) {
+        replay::NaiveBackend naive(*trace);
+        reports.push_back(replay::Replayer("naive", *trace, naive).run());
+    }
+    std::cout << (values->count("json") > 0 ? replay::renderJson(reports)
+                                            : replay::renderText(reports));
+    if (values->count("svg") > 0)
+        std::ofstream((*values)["svg"].as<std::string>()) << replay::renderSvg(reports);
+    return reports.front().violations.empty() ? 0 : 1;
+}
+
+} // namespace heathergate::app
--- a/libs/daemon/test/support/fleet.h
+++ b/libs/replay/include/heathergate/replay/fleet.h
@@ -7,7 +7,12 @@
 
 #include <functional>
 
-namespace heathergate::testing {
+namespace heathergate::replay {
+
+using testing::FakeEngine;
+using testing::FakeEngineSettings;
+using testing::FakeLink;
+using testing::ManualClock;
 
 /// What a caller has received for one request.
 struct Received
@@ -59,11 +64,20 @@
     std::string bootId = "boot-1";
     std::uint64_t incarnation = 0;
 
+    int slots = 4;
+    std::int64_t contextTokens = 0;
+    std::string domain = "domain-a";
+
     std::map<std::string, int> runs;
     int calls = 0;
+    /// Everything that requests carried, if `keepSeen`.
+    bool keepSeen = true;
     std::string seen;
 };
 
+/// Returns the settings of an engine with few slots and short answers.
+[[nodiscard]] auto smallEngine() -> FakeEngineSettings;
+
 /// Whole instances with fake disks, links, callers and upstreams, under one paused clock.
 class Fleet
 {
@@ -77,7 +91,12 @@
     /// Runs until all instances are ready and all upstreams known everywhere.
     [[nodiscard]] auto start() -> bool;
 
-    auto addEngine(const std::string &id, int slots = 4) -> FakeTarget &;
+    auto addEngine(const std::string &id, FakeEngineSettings settings = smallEngine())
+        -> FakeTarget &;
+    [[nodiscard]] auto targets() const -> const std::map<std::string, FakeTarget> &
+    {
+        return m_targets;
+    }
     auto addService(const std::string &id) -> FakeTarget &;
     [[nodiscard]] auto target(const std::string &id) -> FakeTarget &;
 
@@ -91,6 +110,11 @@
     auto call(const std::string &instance, const http::Request &request,
               Duration limit = std::chrono::seconds(30)) -> Received;
 
+    /// Makes an upstream die: running requests are cut, connections refused.
+    void killTarget(const std::string &id);
+    /// Starts a dead upstream anew.
+    void reviveTarget(const std::string &id);
+
     void crash(const std::string &instance);
     void restart(const std::string &instance);
     void setFrozen(const std::string &instance, bool frozen);
@@ -181,4 +205,4 @@
     std::map<http::Token, std::string> m_announcements;
 };
 
-} // namespace heathergate::testing
+} // namespace heathergate::replay
--- /dev/null
+++ b/libs/replay/include/heathergate/replay/naive_backend.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <heathergate/limits/limits.h>
+#include <heathergate/replay/backend.h>
+#include <heathergate/testing/fake_engine.h>
+#include <heathergate/testing/manual_clock.h>
+
+namespace heathergate::replay {
+
+/// The naive version: one process with one table and one bucket a customer, round robin over the
+/// engines, first come first served, no affinity, no order between programs.
+class NaiveBackend
+{
+public:
+    explicit NaiveBackend(const Trace &trace);
+
+    [[nodiscard]] auto now() -> TimePoint
+    {
+        return m_clock.now();
+    }
+    void run(Duration time);
+    void startProgram(const TraceProgram &program);
+    [[nodiscard]] auto submit(const ReplayCall &call, int tries) -> Ticket;
+    [[nodiscard]] auto answer(Ticket ticket) -> std::optional<ReplayAnswer>;
+    void inject(const TraceFailure &failure);
+    [[nodiscard]] auto computedPromptTokens() -> std::int64_t;
+    [[nodiscard]] auto occupancy() -> double;
+    [[nodiscard]] auto problems() -> std::vector<std::string>
+    {
+        return {};
+    }
+
+private:
+    struct Engine
+    {
+        testing::FakeEngine engine;
+        bool dead = false;
+        bool silent = false;
+    };
+
+    struct Work
+    {
+        std::string program;
+        nlohmann::json messages;
+        std::int64_t tokens = 0;
+        std::size_t engine = 0;
+        std::string text;
+    };
+
+    void dispatch(Ticket ticket);
+
+    int m_slots;
+    testing::ManualClock m_clock;
+    std::vector<Engine> m_engines;
+    std::size_t m_nextEngine = 0;
+    Ticket m_lastTicket = 0;
+    std::map<Ticket, Work> m_work;
+    std::map<Ticket, ReplayAnswer> m_answers;
+    std::multimap<TimePoint, Ticket> m_services;
+    std::map<std::string, nlohmann::json> m_histories;
+    std::map<std::string, limits::TokenBucket> m_buckets;
+    double m_busySlots = 0;
+    double m_slotSteps = 0;
+};
+
+static_assert(Backend<NaiveBackend>);
+
+} // namespace heathergate::replay
--- /dev/null
+++ b/libs/replay/include/heathergate/replay/replay.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// Umbrella header of the replay library: traces, the product and a naive version to run them on,
+/// and reports.
+#include <heathergate/replay/fleet_backend.h>
+#include <heathergate/replay/naive_backend.h>
+#include <heathergate/replay/replayer.h>
+#include <heathergate/replay/report.h>
+#include <heathergate/replay/trace.h>
--- a/libs/daemon/test/support/fleet.cpp
+++ b/libs/replay/src/fleet.cpp
@@ -1,6 +1,6 @@
-#include "fleet.h"
+#include <heathergate/replay/fleet.h>
 
-namespace heathergate::testing {
+namespace heathergate::replay {
 
 namespace {
 
@@ -129,14 +129,21 @@
         std::chrono::seconds(20));
 }
 
-auto Fleet::addEngine(const std::string &id, int slots) -> FakeTarget &
+auto smallEngine() -> FakeEngineSettings
+{
+    FakeEngineSettings settings;
+    settings.slots = 4;
+    settings.mostAnswerTokens = 40;
+    return settings;
+}
+
+auto Fleet::addEngine(const std::string &id, FakeEngineSettings settings) -> FakeTarget &
 {
     auto &added = m_targets[id];
     added.id = id;
     added.address = "127.0.0.1:" + std::to_string(40'000 + numberOf(id));
-    FakeEngineSettings settings;
-    settings.slots = slots;
-    settings.mostAnswerTokens = 40;
+    added.slots = settings.slots;
+    added.contextTokens = settings.cacheTokens;
     added.engine = std::make_unique<FakeEngine>(settings);
     return added;
 }
@@ -172,6 +179,20 @@
     return m_received[token];
 }
 
+void Fleet::killTarget(const std::string &id)
+{
+    die(m_targets.at(id));
+}
+
+void Fleet::reviveTarget(const std::string &id)
+{
+    auto &target = m_targets.at(id);
+    target.dead = false;
+    target.bootId += "+";
+    target.incarnation = 0;
+    m_nextRenewal = m_clock.now();
+}
+
 void Fleet::crash(const std::string &instance)
 {
     auto &node = m_nodes.at(instance);
@@ -383,9 +404,11 @@
         answer(name, node.boots, request.id, 200, "ok", kNetworkTime, target.bootId);
         return;
     }
-    for (const auto &[header, value] : request.headers)
-        target.seen += header + ": " + value + "\n";
-    target.seen += request.url + "\n" + request.body + "\n";
+    if (target.keepSeen) {
+        for (const auto &[header, value] : request.headers)
+            target.seen += header + ": " + value + "\n";
+        target.seen += request.url + "\n" + request.body + "\n";
+    }
     if (target.silent)
         return;
     const auto holds = [&](const std::string &marker) {
@@ -423,10 +446,10 @@
         fail(name, node.boots, request.id, true, 2 * kNetworkTime);
         return;
     }
-    FakeEngineRequest work;
+    testing::FakeEngineRequest work;
     work.id = ++m_lastEngineId;
     work.program = body.value("program", "");
-    work.prompt = promptOf(body["messages"]);
+    work.prompt = testing::promptOf(body["messages"]);
     work.maxTokens = body.value("max_tokens", 16);
     if (target.overrunTokens > 0)
         work.maxTokens = target.overrunTokens;
@@ -478,13 +501,16 @@
         if (target.dead || !target.announced)
             continue;
         const auto announce = target.incarnation == 0;
-        nlohmann::json body{{"id", id}, {"incarnation", target.incarnation}, {"requests", 0}};
+        nlohmann::json body{{"id", id},
+                            {"incarnation", target.incarnation},
+                            {"requests", target.engine ? target.engine->requests() : 0}};
         if (announce) {
             body = {{"id", id},
                     {"boot_id", target.bootId},
                     {"address", target.address},
-                    {"failure_domain", "domain-a"},
-                    {"slots", 4}};
+                    {"failure_domain", target.domain},
+                    {"slots", target.slots},
+                    {"context_tokens", target.contextTokens}};
             const char *const field = target.isEngine ? "models" : "services";
             body[field] = nlohmann::json::array({target.isEngine ? "quill" : "registrar"});
         }
@@ -531,4 +557,4 @@
     std::erase_if(m_exchanges, [&](const auto &item) { return item.target == target.id; });
 }
 
-} // namespace heathergate::testing
+} // namespace heathergate::replay
--- a/libs/daemon/test/instance_test.cpp
+++ b/libs/replay/test/instance_test.cpp
@@ -1,10 +1,10 @@
 #include <boost/test/unit_test.hpp>
 
-#include "support/fleet.h"
+#include <heathergate/replay/fleet.h>
 
 using namespace std::chrono_literals;
 using heathergate::Code;
-using heathergate::testing::Fleet;
+using heathergate::replay::Fleet;
 
 namespace {
 
