Bound an instance by its share of the fleet, and wait for the cache

Load reports are seconds old: an instance took its own former requests in them for others' load and stopped sending; ruled out before were admission (no refusals) and the work queue (blocked only by 'no room'). Change: an instance fills slots up to its share of the fleet's requests, as the control leader tells it twice a second; reports only guide the choice. A prompt that is cached may wait at its engine up to three times that.

--- a/apps/heathergate/replay_command.cpp
+++ b/apps/heathergate/replay_command.cpp
@@ -53,13 +53,12 @@
     parser.add()("trace", po::value<std::string>()->default_value(""), "Trace file (JSON lines)")(
         "generate", po::value<std::string>(),
         "Generates a day: pinesreg-evening, pinesreg-staff-week or kumasi-quotes")(
-        "seed", po::value<std::uint64_t>()->default_value(1), "Seed")(
-        "seconds", po::value<double>()->default_value(60), "Length of a generated day")(
+        "seed", po::value<std::uint64_t>()->default_value(1),
+        "Seed")("seconds", po::value<double>()->default_value(60), "Length of a generated day")(
         "arrivals", po::value<double>()->default_value(2), "Programs started a second")(
         "loud", po::value<double>()->default_value(1), "One customer sends so many times its rate")(
         "failures", "Adds failures of engines and instances")(
-        "print", "Prints the trace instead of running it")("no-naive",
-                                                           "Runs the product alone")(
+        "print", "Prints the trace instead of running it")("no-naive", "Runs the product alone")(
         "json", "Prints the report as JSON")("svg", po::value<std::string>(),
                                              "Writes the latencies as a picture to this file");
     parser.positional("trace", 1);
--- a/libs/daemon/include/heathergate/daemon/internal/call_runner.h
+++ b/libs/daemon/include/heathergate/daemon/internal/call_runner.h
@@ -20,6 +20,11 @@
     void viewChanged(TimePoint now);
     /// Takes in loads that upstreams reported.
     void loadsReported(TimePoint now, const std::vector<wire::UpstreamLoad> &loads);
+    /// Sets this instance's part of the fleet's requests.
+    void setShare(double share)
+    {
+        m_router.setShare(share);
+    }
     /// Says that a caller is gone.
     void callerGone(TimePoint now, http::Token token);
     /// Lets time pass.
--- a/libs/daemon/src/entry_node.cpp
+++ b/libs/daemon/src/entry_node.cpp
@@ -174,8 +174,8 @@
     m_context->groups.setLeader(kControlGroup, from);
     m_lastAnswer = now;
     const auto changed = m_context->view.receive(message.feed);
-    for (const auto &load : message.instances)
-        m_context->instanceLoads[load.id] = load.load;
+    if (!message.instances.empty())
+        takeInstanceLoads(message.instances);
     checkMembership(now);
     if (changed)
         m_runner->viewChanged(now);
@@ -186,6 +186,18 @@
         m_nextFollow = now;
 }
 
+void EntryNode::takeInstanceLoads(const std::vector<wire::InstanceLoad> &loads)
+{
+    m_context->instanceLoads.clear();
+    double sum = 0;
+    for (const auto &load : loads) {
+        m_context->instanceLoads[load.id] = load.load;
+        sum += load.load;
+    }
+    const auto own = m_context->instanceLoads[m_settings.id];
+    m_runner->setShare(sum > 0 ? own / sum : 1.0);
+}
+
 void EntryNode::follow(TimePoint now)
 {
     m_nextFollow = now + kFollowInterval;
--- a/libs/replay/include/heathergate/replay/backend.h
+++ b/libs/replay/include/heathergate/replay/backend.h
@@ -39,16 +39,35 @@
 /// version it is compared with.
 template <typename T>
 concept Backend = requires(T &backend, const Trace &trace, const ReplayCall &call,
-                           const TraceFailure &failure, Ticket ticket) {
-    { backend.now() } -> std::same_as<TimePoint>;
-    { backend.run(Duration{}) } -> std::same_as<void>;
-    { backend.startProgram(std::declval<const TraceProgram &>()) } -> std::same_as<void>;
-    { backend.submit(call, int{}) } -> std::same_as<Ticket>;
-    { backend.answer(ticket) } -> std::same_as<std::optional<ReplayAnswer>>;
-    { backend.inject(failure) } -> std::same_as<void>;
-    { backend.computedPromptTokens() } -> std::same_as<std::int64_t>;
-    { backend.occupancy() } -> std::same_as<double>;
-    { backend.problems() } -> std::same_as<std::vector<std::string>>;
+                           const TraceFailure &failure, Ticket ticket)
+{
+    {
+        backend.now()
+        } -> std::same_as<TimePoint>;
+    {
+        backend.run(Duration{})
+        } -> std::same_as<void>;
+    {
+        backend.startProgram(std::declval<const TraceProgram &>())
+        } -> std::same_as<void>;
+    {
+        backend.submit(call, int{})
+        } -> std::same_as<Ticket>;
+    {
+        backend.answer(ticket)
+        } -> std::same_as<std::optional<ReplayAnswer>>;
+    {
+        backend.inject(failure)
+        } -> std::same_as<void>;
+    {
+        backend.computedPromptTokens()
+        } -> std::same_as<std::int64_t>;
+    {
+        backend.occupancy()
+        } -> std::same_as<double>;
+    {
+        backend.problems()
+        } -> std::same_as<std::vector<std::string>>;
 };
 
 } // namespace heathergate::replay
--- a/libs/replay/include/heathergate/replay/replayer.h
+++ b/libs/replay/include/heathergate/replay/replayer.h
@@ -22,8 +22,11 @@
         , m_startedAt(backend.now())
     {
         m_report.name = std::move(name);
-        for (const auto &program : trace.programs)
-            m_runs.push_back({&program});
+        for (const auto &program : trace.programs) {
+            Run run;
+            run.program = &program;
+            m_runs.push_back(std::move(run));
+        }
         for (const auto &customer : trace.customers)
             m_buckets.emplace(customer.name, limits::TokenBucket(limitOf(customer), m_startedAt));
     }
--- a/libs/replay/src/fleet_backend.cpp
+++ b/libs/replay/src/fleet_backend.cpp
@@ -37,9 +37,8 @@
         m_fleet.addService(name).keepSeen = false;
     static_cast<void>(m_fleet.start());
     for (const auto &customer : trace.customers)
-        m_keys[customer.name]
-            = m_fleet.addCustomer(customer.name, customer.rate, customer.burst, customer.budget,
-                                  customer.priority);
+        m_keys[customer.name] = m_fleet.addCustomer(customer.name, customer.rate, customer.burst,
+                                                    customer.budget, customer.priority);
 }
 
 void FleetBackend::run(Duration time)
@@ -74,10 +73,9 @@
         if (!call.system.empty())
             messages.push_back({{"role", "system"}, {"content", call.system}});
         messages.push_back({{"role", "user"}, {"content", call.model}});
-        request = Fleet::callerRequest(key, "POST", "/v1/chat/completions",
-                                       {{"model", "quill"},
-                                        {"max_tokens", call.tokens},
-                                        {"messages", std::move(messages)}});
+        request = Fleet::callerRequest(
+            key, "POST", "/v1/chat/completions",
+            {{"model", "quill"}, {"max_tokens", call.tokens}, {"messages", std::move(messages)}});
     } else {
         request = Fleet::callerRequest(key, "POST", "/v1/services/registrar/" + call.service,
                                        {{"program", call.program}});
@@ -96,8 +94,8 @@
     ReplayAnswer answer;
     answer.success = received.status == 200;
     answer.overRate = code == Code::RateExceeded;
-    answer.limited = code == Code::TurnLimit || code == Code::BudgetExhausted
-                     || code == Code::ProgramEnded;
+    answer.limited =
+        code == Code::TurnLimit || code == Code::BudgetExhausted || code == Code::ProgramEnded;
     answer.unknown = code == Code::OutcomeUnknown;
     return answer;
 }
--- a/libs/replay/src/report.cpp
+++ b/libs/replay/src/report.cpp
@@ -46,7 +46,8 @@
         {"program latency p99 ms", quantileLine(0.99)},
         {"worst-served customer",
          [](const auto &r) {
-             return r.worstCustomer().first + " " + fixedText(milliseconds(r.worstCustomer().second));
+             return r.worstCustomer().first + " "
+                    + fixedText(milliseconds(r.worstCustomer().second));
          }},
         {"prompt tokens new", [](const auto &r) { return std::to_string(r.freshPromptTokens); }},
         {"prompt tokens again", [](const auto &r) { return std::to_string(r.recomputedTokens()); }},
@@ -92,9 +93,11 @@
             out << std::right << std::setw(kValueWidth) << line.value(report);
         out << '\n';
     }
+    constexpr std::size_t kMostShown = 10;
     for (const auto &report : reports) {
-        for (const auto &violation : report.violations)
-            out << report.name << ": " << violation << '\n';
+        const auto shown = std::min(kMostShown, report.violations.size());
+        for (std::size_t i = 0; i < shown; ++i)
+            out << report.name << ": " << report.violations[i] << '\n';
     }
     return out.str();
 }
--- a/libs/replay/src/trace.cpp
+++ b/libs/replay/src/trace.cpp
@@ -138,15 +138,12 @@
     void addFailures(double end)
     {
         const auto at = [end](double part) { return static_cast<std::int64_t>(end * part * 1000); };
-        m_trace.failures = {{at(0.2), "kill-engine", "engine-0"},
-                            {at(0.3), "kill-instance", "entry-0"},
-                            {at(0.4), "kill-instance", "disk-0"},
-                            {at(0.5), "restart-instance", "disk-0"},
-                            {at(0.55), "restart-instance", "entry-0"},
-                            {at(0.6), "freeze-instance", "disk-1"},
-                            {at(0.7), "thaw-instance", "disk-1"},
-                            {at(0.75), "revive-engine", "engine-0"},
-                            {at(0.8), "silence-engine", "engine-1"}};
+        m_trace.failures = {
+            {at(0.2), "kill-engine", "engine-0"},      {at(0.3), "kill-instance", "entry-0"},
+            {at(0.4), "kill-instance", "disk-0"},      {at(0.5), "restart-instance", "disk-0"},
+            {at(0.55), "restart-instance", "entry-0"}, {at(0.6), "freeze-instance", "disk-1"},
+            {at(0.7), "thaw-instance", "disk-1"},      {at(0.75), "revive-engine", "engine-0"},
+            {at(0.8), "silence-engine", "engine-1"}};
     }
 
     [[nodiscard]] auto pickCustomer() -> std::size_t
@@ -178,7 +175,8 @@
         constexpr int kSystemWords = 600;
         std::string text = "You help the callers of " + customer + ".";
         for (int i = 0; i < kSystemWords; ++i)
-            text += " " + std::to_string(100 + hash64(customer, static_cast<std::uint64_t>(i)) % 900);
+            text +=
+                " " + std::to_string(100 + hash64(customer, static_cast<std::uint64_t>(i)) % 900);
         return text;
     }
 
--- a/libs/routing/include/heathergate/routing/candidate.h
+++ b/libs/routing/include/heathergate/routing/candidate.h
@@ -9,6 +9,8 @@
 /// What a routing policy sees of an upstream.
 struct Candidate
 {
+    /// Whether it may not be sent anything more.
+    bool full = false;
     /// Requests estimated to be there, relative to its slots, after this one is added.
     double load = 0;
     /// Part of the request's prompt estimated to be in its cache, from 0 to 1.
@@ -30,7 +32,4 @@
         } -> std::same_as<std::size_t>;
 };
 
-/// Load from which an upstream takes nothing more.
-constexpr double kFullLoad = 1.0 + 1e-9;
-
 } // namespace heathergate::routing
--- a/libs/routing/include/heathergate/routing/policies.h
+++ b/libs/routing/include/heathergate/routing/policies.h
@@ -2,6 +2,7 @@
 
 #include <heathergate/routing/candidate.h>
 
+#include <limits>
 #include <vector>
 
 namespace heathergate::routing {
@@ -15,7 +16,7 @@
     {
         for (std::size_t tried = 0; tried < count; ++tried) {
             const auto index = m_next++ % count;
-            if (inspect(index).load <= kFullLoad)
+            if (!inspect(index).full)
                 return index;
         }
         return count;
@@ -35,7 +36,7 @@
         const auto start = random.below(count);
         for (std::size_t tried = 0; tried < count; ++tried) {
             const auto index = (start + tried) % count;
-            if (inspect(index).load <= kFullLoad)
+            if (!inspect(index).full)
                 return index;
         }
         return count;
@@ -50,14 +51,14 @@
         -> std::size_t
     {
         auto best = count;
-        auto bestLoad = kFullLoad;
+        auto bestLoad = std::numeric_limits<double>::infinity();
         const auto start = random.below(count);
         for (std::size_t tried = 0; tried < count; ++tried) {
             const auto index = (start + tried) % count;
-            const auto load = inspect(index).load;
-            if (load < bestLoad) {
+            const auto candidate = inspect(index);
+            if (!candidate.full && candidate.load < bestLoad) {
                 best = index;
-                bestLoad = load;
+                bestLoad = candidate.load;
             }
         }
         return best;
@@ -77,7 +78,7 @@
         const auto first = random.below(count);
         const auto second = random.below(count);
         const auto better = inspect(first).load <= inspect(second).load ? first : second;
-        if (inspect(better).load <= kFullLoad)
+        if (!inspect(better).full)
             return better;
         return RandomChoice{}.pick(count, inspect, hints, random);
     }
@@ -96,7 +97,7 @@
         auto bestScore = 0.0;
         const auto consider = [&](std::size_t index) {
             const auto candidate = inspect(index);
-            if (candidate.load > kFullLoad)
+            if (candidate.full)
                 return;
             const auto score = scoreOf(candidate);
             if (best == count || score > bestScore) {
@@ -116,8 +117,8 @@
 
 private:
     static constexpr std::size_t kSamples = 8;
-    static constexpr double kCacheWeight = 1.0;
-    static constexpr double kLoadWeight = 1.0;
+    static constexpr double kCacheWeight = 3.0;
+    static constexpr double kLoadWeight = 0.5;
     static constexpr double kDomainWeight = 0.05;
     static constexpr double kShareWeight = 0.5;
 
--- a/libs/routing/include/heathergate/routing/router.h
+++ b/libs/routing/include/heathergate/routing/router.h
@@ -5,6 +5,7 @@
 #include <heathergate/routing/prefix_index.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -70,16 +71,32 @@
             std::sort(members.begin(), members.end(), byId);
     }
 
-    /// Takes in a load report: requests running and queued there, of all instances.
+    /// Takes in a load report: requests running and queued there, of all instances. A report may
+    /// be seconds old, so what exceeds this instance's own recent peak counts as the others' load,
+    /// smoothed.
     void reportLoad(TimePoint now, const UpstreamId &id, int requests)
     {
         if (auto *state = find(id)) {
-            state->reported = requests;
-            state->sentSinceReport = 0;
+            if (now - state->peakSince > kReportLag) {
+                state->formerPeak = std::exchange(state->peak, state->inFlight);
+                state->peakSince = now;
+            }
+            const auto own = std::max(state->peak, state->formerPeak);
+            const auto others = std::max(0, requests - own);
+            const auto trusted = now - state->reportedAt < kReportTrust;
+            const auto part = trusted ? kNewReportWeight : 1.0;
+            state->others += part * (others - state->others);
             state->reportedAt = now;
         }
     }
 
+    /// Sets this instance's part of the fleet's requests, from 0 to 1. It bounds how much of an
+    /// upstream's slots it fills: reports of load lag too much to be a bound.
+    void setShare(double share)
+    {
+        m_share = std::clamp(share, 0.0, 1.0);
+    }
+
     /// Returns the upstream for a request; nothing if none has room.
     [[nodiscard]] auto choose(TimePoint now, const RouteQuery &query, Random &random)
         -> std::optional<UpstreamId>
@@ -116,7 +133,7 @@
     {
         if (auto *state = find(id)) {
             ++state->inFlight;
-            ++state->sentSinceReport;
+            state->peak = std::max(state->peak, state->inFlight);
             state->prefixes.touch(prompt);
         }
     }
@@ -168,14 +185,24 @@
         PrefixIndex prefixes;
         Health health;
         int inFlight = 0;
-        int reported = 0;
-        int sentSinceReport = 0;
+        /// Most own requests there in the present and the former period of `kReportLag`.
+        int peak = 0;
+        int formerPeak = 0;
+        TimePoint peakSince{};
+        /// Estimate of the requests that other instances have there.
+        double others = 0;
         TimePoint reportedAt{};
         std::size_t position = 0;
     };
 
     /// What an upstream counts as holding of a program that calls it its home.
     static constexpr double kHomeCached = 0.3;
+    /// Requests sent to an upstream over its slots, so that the next one is at hand when one ends.
+    static constexpr double kOvercommit = 1.25;
+    /// Further overcommitment for a prompt that is wholly cached there.
+    static constexpr double kCachedOvercommit = 2.0;
+    static constexpr Duration kReportLag = std::chrono::seconds(3);
+    static constexpr double kNewReportWeight = 0.3;
     static constexpr Duration kReportTrust = std::chrono::seconds(5);
 
     [[nodiscard]] auto find(const UpstreamId &id) -> State *
@@ -213,22 +240,24 @@
         Candidate candidate;
         const auto slots = std::max(1, state.target.slots);
         const auto trusted = now - state.reportedAt < kReportTrust;
-        const auto estimate = trusted
-                                  ? std::max(state.inFlight, state.reported + state.sentSinceReport)
-                                  : state.inFlight;
-        candidate.load = static_cast<double>(estimate + 1) / slots;
-        if (query.excluded.contains(state.target.id) || !state.health.isAvailable(now))
-            candidate.load = std::numeric_limits<double>::infinity();
+        const auto estimate = state.inFlight + (trusted ? state.others : 0.0);
+        candidate.load = (estimate + 1) / slots;
         const auto total = query.prompt.totalTokens();
         if (total > 0)
             candidate.cached =
                 static_cast<double>(state.prefixes.cachedTokens(query.prompt)) / total;
+        // Waiting at the engine that holds the prompt is shorter than computing it elsewhere.
+        const auto patience = 1.0 + kCachedOvercommit * candidate.cached;
+        const auto most = std::max(1.0, std::ceil(kOvercommit * m_share * slots * patience));
+        candidate.full = state.inFlight >= most || query.excluded.contains(state.target.id)
+                         || !state.health.isAvailable(now);
         candidate.sameDomain = state.target.domain == m_ownDomain;
         candidate.share = state.health.share(now);
         return candidate;
     }
 
     FailureDomainId m_ownDomain;
+    double m_share = 1.0;
     Policy m_policy;
     std::unordered_map<UpstreamId, State> m_states;
     std::map<std::string, std::vector<State *>> m_lanes;
