--- a/libs/daemon/include/heathergate/daemon/peer_session.h
+++ b/libs/daemon/include/heathergate/daemon/peer_session.h
@@ -26,7 +26,7 @@
 public:
     /// Creates a session; `expected` is the peer that was dialled, if this side dialled.
     PeerSession(const PeerIdentity &identity, std::optional<InstanceId> expected,
-                std::string nonce);
+                const std::string &nonce);
 
     /// Takes in bytes and returns the bodies of the frames that they complete. An empty body is a
     /// sign of life. Fails with `Code::PeerRejected` or `Code::BadFrame`; the connection must then
--- a/libs/daemon/src/log_writer.cpp
+++ b/libs/daemon/src/log_writer.cpp
@@ -35,7 +35,8 @@
 
 void LogWriter::write(std::vector<StorageStep> steps)
 {
-    while (!m_ring.push(std::move(steps)))
+    // A push that fails leaves its argument as it was.
+    while (!m_ring.push(std::move(steps))) // NOLINT(bugprone-use-after-move)
         std::this_thread::sleep_for(kFullRingPause);
 }
 
--- a/libs/daemon/src/peer_session.cpp
+++ b/libs/daemon/src/peer_session.cpp
@@ -55,7 +55,7 @@
 } // namespace
 
 PeerSession::PeerSession(const PeerIdentity &identity, std::optional<InstanceId> expected,
-                         std::string nonce)
+                         const std::string &nonce)
     : m_identity(identity)
     , m_expected(std::move(expected))
     , m_nonce(toHex(nonce))
--- a/libs/daemon/src/server.cpp
+++ b/libs/daemon/src/server.cpp
@@ -384,7 +384,8 @@
     template <typename T>
     void pushPatiently(Ring<T> &ring, T event)
     {
-        while (!ring.push(std::move(event)) && !m_failed)
+        // A push that fails leaves its argument as it was.
+        while (!ring.push(std::move(event)) && !m_failed) // NOLINT(bugprone-use-after-move)
             std::this_thread::sleep_for(kFullRingPause);
     }
 
