--- a/apps/heathergate/load.cpp
+++ b/apps/heathergate/load.cpp
@@ -36,7 +36,9 @@
         , m_results(targets.size())
         , m_events(kEventRing, [] {})
         , m_client(http::Client::start([this](http::ClientEvent event) {
-            while (!m_events.push({m_clock.now(), std::move(event)}))
+            TimedEvent timed{m_clock.now(), std::move(event)};
+            // A push that fails leaves its argument as it was.
+            while (!m_events.push(std::move(timed))) // NOLINT(bugprone-use-after-move)
                 std::this_thread::sleep_for(kRingPause);
         }))
     {
--- a/apps/heathergate/replay_command.cpp
+++ b/apps/heathergate/replay_command.cpp
@@ -55,9 +55,9 @@
         "Generates a day: pinesreg-evening, pinesreg-staff-week or kumasi-quotes")(
         "seed", po::value<std::uint64_t>()->default_value(1),
         "Seed")("seconds", po::value<double>()->default_value(60), "Length of a generated day")(
-        "arrivals", po::value<double>()->default_value(2), "Programs started a second")(
-        "loud", po::value<double>()->default_value(0),
-        "Adds a customer that sends so many times its rate")(
+        "arrivals", po::value<double>()->default_value(2),
+        "Programs started a second")("loud", po::value<double>()->default_value(0),
+                                     "Adds a customer that sends so many times its rate")(
         "failures", "Adds failures of engines and instances")(
         "print", "Prints the trace instead of running it")("no-naive", "Runs the product alone")(
         "json", "Prints the report as JSON")("svg", po::value<std::string>(),
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -26,8 +26,13 @@
 {
     std::vector<routing::Target> out;
     for (std::int64_t i = 0; i < count; ++i)
-        out.push_back({UpstreamId("engine-" + std::to_string(i)), 1, FailureDomainId("a"),
-                       {"model:quill"}, 64, 100'000, false});
+        out.push_back({UpstreamId("engine-" + std::to_string(i)),
+                       1,
+                       FailureDomainId("a"),
+                       {"model:quill"},
+                       64,
+                       100'000,
+                       false});
     return out;
 }
 
@@ -151,17 +156,18 @@
         finish.attempt = 1;
         finish.used = 200;
         finish.answer = text;
-        finish.messages = nlohmann::json::array({{{"role", "assistant"}, {"content", text}}}).dump();
-        for (const auto &command : {programs::ProgramCommand(begin),
-                                    programs::ProgramCommand(finish)}) {
+        finish.messages =
+            nlohmann::json::array({{{"role", "assistant"}, {"content", text}}}).dump();
+        for (const auto &command :
+             {programs::ProgramCommand(begin), programs::ProgramCommand(finish)}) {
             const auto encoded = encodeVariant(command);
             bytes += encoded.size();
             const auto decoded = decodeVariant<programs::ProgramCommand>(encoded);
             benchmark::DoNotOptimize(encode(ledger.apply(1s, *decoded)));
         }
     }
-    state.counters["log bytes/turn"] = static_cast<double>(bytes)
-                                       / static_cast<double>(state.iterations());
+    state.counters["log bytes/turn"] =
+        static_cast<double>(bytes) / static_cast<double>(state.iterations());
 }
 BENCHMARK(ledgerTurn)->Arg(1000)->Arg(10'000)->Arg(80'000)->Iterations(20'000);
 
@@ -189,8 +195,8 @@
         benchmark::DoNotOptimize(
             encode(ledger.apply(time, std::get<limits::AllowanceRequest>(*decoded))));
     }
-    state.counters["bytes/item"] = static_cast<double>(bytes)
-                                   / static_cast<double>(state.iterations() * state.range(0));
+    state.counters["bytes/item"] =
+        static_cast<double>(bytes) / static_cast<double>(state.iterations() * state.range(0));
 }
 BENCHMARK(allowanceReport)->Arg(1)->Arg(8)->Arg(64);
 
@@ -208,9 +214,9 @@
             group.propose(payload);
         group.run(8ms);
     }
-    state.counters["us/entry"]
-        = benchmark::Counter(static_cast<double>(state.iterations()) * 100 / 1e6,
-                             benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+    state.counters["us/entry"] =
+        benchmark::Counter(static_cast<double>(state.iterations()) * 100 / 1e6,
+                           benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
 }
 BENCHMARK(consensusEntry)->Arg(1)->Arg(3)->Arg(5)->Iterations(100);
 
@@ -238,9 +244,9 @@
     settle();
     const auto before = heapBytes();
     const auto propose = [&](const control::ControlCommand &command) {
-        host.receive(now, InstanceId("x"),
-                     wire::Request{1, kControlGroup, wire::RequestKind::Control,
-                                   encodeVariant(command)});
+        host.receive(
+            now, InstanceId("x"),
+            wire::Request{1, kControlGroup, wire::RequestKind::Control, encodeVariant(command)});
     };
     for (std::int64_t i = 0; i < state.range(0); ++i)
         propose(control::JoinInstance{{InstanceId("instance-" + std::to_string(i)), 1,
@@ -273,10 +279,10 @@
         for (const auto &[to, message] : host.takeOutput(now).messages)
             bytesOut += wire::encodeMessage(message).size();
     }
-    state.counters["bytes in"] = static_cast<double>(bytesIn)
-                                 / static_cast<double>(state.iterations());
-    state.counters["bytes out"] = static_cast<double>(bytesOut)
-                                  / static_cast<double>(state.iterations());
+    state.counters["bytes in"] =
+        static_cast<double>(bytesIn) / static_cast<double>(state.iterations());
+    state.counters["bytes out"] =
+        static_cast<double>(bytesOut) / static_cast<double>(state.iterations());
 }
 BENCHMARK(controlHeartbeat)->Arg(18)->Arg(100)->Arg(380)->Iterations(2000);
 
@@ -289,10 +295,9 @@
     const auto edit = [&](std::int64_t i) {
         const CustomerId customer("customer-" + std::to_string(i));
         const auto *row = rows.row(customer);
-        const auto command = encodeVariant(control::ControlCommand(
-            control::EditRow{"edit-" + std::to_string(revision), customer,
-                             row == nullptr ? 0 : row->revision,
-                             control::RowValues{10, 10, 1000, 0, 1}}));
+        const auto command = encodeVariant(control::ControlCommand(control::EditRow{
+            "edit-" + std::to_string(revision), customer, row == nullptr ? 0 : row->revision,
+            control::RowValues{10, 10, 1000, 0, 1}}));
         rows.apply(++revision, 1s, *decodeVariant<control::ControlCommand>(command));
     };
     for (std::int64_t i = 0; i < state.range(0); ++i)
--- a/libs/replay/include/heathergate/replay/fleet.h
+++ b/libs/replay/include/heathergate/replay/fleet.h
@@ -101,7 +101,7 @@
     [[nodiscard]] auto target(const std::string &id) -> FakeTarget &;
 
     /// Sends a request to an instance. Returns its token.
-    auto send(const std::string &instance, http::Request request) -> http::Token;
+    auto send(const std::string &instance, const http::Request &request) -> http::Token;
     [[nodiscard]] auto received(http::Token token) -> Received &
     {
         return m_received[token];
--- a/libs/replay/src/fleet.cpp
+++ b/libs/replay/src/fleet.cpp
@@ -162,7 +162,7 @@
     return m_targets.at(id);
 }
 
-auto Fleet::send(const std::string &instance, http::Request request) -> http::Token
+auto Fleet::send(const std::string &instance, const http::Request &request) -> http::Token
 {
     const auto token = ++m_lastToken;
     auto &node = m_nodes.at(instance);
