Let two stories see what they are about

Cause: breaking mechanisms on purpose left two stories green: the silent engine was never chosen, and the higher class was also the customer with less service. Change: eight programs, and a check that the silent engine was tried; the higher class keeps its place after having been served.

--- a/libs/replay/test/instance_test.cpp
+++ b/libs/replay/test/instance_test.cpp
@@ -336,11 +336,14 @@
 {
     RunningFleet all(33);
     all.fleet.target("quill-1").silent = true;
-    const auto answered = all.fleet.call("x1", Fleet::modelCall(all.key, "p", "hello", "t1"));
-    const auto other = all.fleet.call("x1", Fleet::modelCall(all.key, "p", "again", "t2"));
-    BOOST_TEST(answered.status == 200);
-    BOOST_TEST(other.status == 200);
-    BOOST_TEST(all.program("p")["history"].size() == 4U);
+    for (int i = 0; i < 8; ++i) {
+        const auto name = "p" + std::to_string(i);
+        all.startProgram(name);
+        const auto answered = all.fleet.call("x1", Fleet::modelCall(all.key, name, "hello", "t1"));
+        BOOST_TEST(answered.status == 200);
+        BOOST_TEST(all.program(name)["history"].size() == 2U);
+    }
+    BOOST_TEST(!all.fleet.target("quill-1").seen.empty(), "the silent engine was never tried");
 }
 
 BOOST_AUTO_TEST_CASE(aRequestThatKillsEnginesIsStoppedAfterTwo)
--- a/libs/routing/test/routing_test.cpp
+++ b/libs/routing/test/routing_test.cpp
@@ -33,8 +33,12 @@
     WorkQueue queue(100);
     for (std::uint64_t i = 0; i < 10; ++i)
         BOOST_REQUIRE(queue.push(itemOf(i, "forms", 1)));
-    BOOST_REQUIRE(queue.push(itemOf(99, "alerts", 0)));
-    BOOST_TEST(queue.pop(kNow)->request == 99U);
+    for (std::uint64_t i = 100; i < 105; ++i)
+        BOOST_REQUIRE(queue.push(itemOf(i, "alerts", 0)));
+    // However much the higher class has had, it goes first.
+    for (int i = 0; i < 5; ++i)
+        BOOST_TEST(queue.pop(kNow)->customer.value == "alerts");
+    BOOST_TEST(queue.pop(kNow)->customer.value == "forms");
 }
 
 BOOST_AUTO_TEST_CASE(customersShareAClassByWeightHoweverMuchOneSends)
