Send unlike prompts in the story of the silent engine

Cause: the story just changed was red: equal prompts all went to the engine that had the first in its cache, so the silent one was never tried. Change: each program asks something else.

--- a/libs/replay/test/instance_test.cpp
+++ b/libs/replay/test/instance_test.cpp
@@ -339,7 +339,8 @@
     for (int i = 0; i < 8; ++i) {
         const auto name = "p" + std::to_string(i);
         all.startProgram(name);
-        const auto answered = all.fleet.call("x1", Fleet::modelCall(all.key, name, "hello", "t1"));
+        // Equal prompts would all go to the engine that has the first in its cache.
+        const auto answered = all.fleet.call("x1", Fleet::modelCall(all.key, name, name, "t1"));
         BOOST_TEST(answered.status == 200);
         BOOST_TEST(all.program(name)["history"].size() == 2U);
     }
