Never leave an intent or an outcome behind when the quorum is lost

Cause: found by reading: an intent whose command timed out could come into force later, with nobody to make or end its attempt, and an outcome was given up after 10 or 30 s. Either left a call 'running' for as long as its instance lived, and its program blocked. Change: an intent that timed out is sent again in the background and ended as not run; outcomes are sent for up to an hour, while the caller is told after 30 s. An answer is found after 60 s without a quorum; before it was not.

--- a/libs/daemon/include/heathergate/daemon/internal/call_runner.h
+++ b/libs/daemon/include/heathergate/daemon/internal/call_runner.h
@@ -50,6 +50,9 @@
     [[nodiscard]] auto nextDeadline() const -> TimePoint;
 
 private:
+    using RecordedHandler =
+        std::function<void(TimePoint, const Result<programs::ProgramOutcome> &)>;
+
     struct ProgramMemory
     {
         std::vector<UpstreamId> holders;
@@ -80,6 +83,8 @@
     void begin(TimePoint now, Call &call);
     void begun(TimePoint now, std::uint64_t id, const Result<programs::ProgramOutcome> &outcome);
     void beginRefused(TimePoint now, Call &call, const Error &error);
+    void withdrawIntent(TimePoint now, const programs::BeginCall &begin);
+    [[nodiscard]] auto intentOf(const Call &call) const -> programs::BeginCall;
 
     // Attempt.
     void send(TimePoint now, Call &call, const std::string &history);
@@ -107,6 +112,9 @@
 
     // Outcome.
     void complete(TimePoint now, Call &call);
+    /// Records an outcome; a caller that has waited long for it is told `late`.
+    void record(TimePoint now, Call &call, const programs::FinishCall &finish, const Error &late,
+                RecordedHandler done);
     void recorded(TimePoint now, std::uint64_t id, const Result<programs::ProgramOutcome> &outcome);
     void deliver(Call &call);
     void deliverRecorded(Call &call, const programs::ProgramOutcome &outcome);
--- a/libs/daemon/src/call_attempt.cpp
+++ b/libs/daemon/src/call_attempt.cpp
@@ -408,13 +408,11 @@
     finish.call = call.request.callId;
     finish.attempt = call.attempt;
     finish.result = result;
-    constexpr Duration kRecordDeadline = std::chrono::seconds(10);
-    m_context.applyProgram(
-        now, m_context.shardOf(finish.key), finish, now + kRecordDeadline,
-        [this, id = call.id, error](TimePoint at, const Result<programs::ProgramOutcome> &) {
-            if (auto *ended = find(id))
-                refuse(at, *ended, error);
-        });
+    record(now, call, finish, error,
+           [this, id = call.id, error](TimePoint at, const Result<programs::ProgramOutcome> &) {
+               if (auto *ended = find(id))
+                   refuse(at, *ended, error);
+           });
 }
 
 void CallRunner::deadlinePassed(TimePoint now, std::uint64_t id)
--- a/libs/daemon/src/call_queue.cpp
+++ b/libs/daemon/src/call_queue.cpp
@@ -7,6 +7,7 @@
 
 constexpr Duration kNoUpstreamWait = std::chrono::seconds(2);
 constexpr Duration kBeginDeadline = std::chrono::seconds(10);
+constexpr Duration kWithdrawDeadline = std::chrono::hours(1);
 constexpr std::int64_t kBytesPerToken = 4;
 constexpr std::int64_t kDefaultCacheTokens = 100'000;
 
@@ -182,6 +183,17 @@
 void CallRunner::begin(TimePoint now, Call &call)
 {
     call.phase = CallPhase::Beginning;
+    const auto intent = intentOf(call);
+    m_context.applyProgram(
+        now, m_context.shardOf(intent.key), intent,
+        std::min(call.request.deadline, now + kBeginDeadline),
+        [this, id = call.id](TimePoint at, const Result<programs::ProgramOutcome> &outcome) {
+            begun(at, id, outcome);
+        });
+}
+
+auto CallRunner::intentOf(const Call &call) const -> programs::BeginCall
+{
     const auto &request = call.request;
     programs::BeginCall begin;
     begin.key = *request.program;
@@ -195,10 +207,26 @@
     begin.standalone = request.standalone;
     begin.placement = {m_context.settings.id, m_context.incarnation, call.id, call.upstream,
                        call.upstreamIncarnation};
+    return begin;
+}
+
+void CallRunner::withdrawIntent(TimePoint now, const programs::BeginCall &begin)
+{
+    // The command may still come into force. Sending it again tells whether it has, and then its
+    // attempt, which nobody makes, is ended.
     m_context.applyProgram(
-        now, m_context.shardOf(begin.key), begin, std::min(request.deadline, now + kBeginDeadline),
-        [this, id = call.id](TimePoint at, const Result<programs::ProgramOutcome> &outcome) {
-            begun(at, id, outcome);
+        now, m_context.shardOf(begin.key), begin, now + kWithdrawDeadline,
+        [this, begin](TimePoint at, const Result<programs::ProgramOutcome> &outcome) {
+            if (!outcome || outcome->attempt == 0)
+                return;
+            programs::FinishCall finish;
+            finish.key = begin.key;
+            finish.call = begin.call;
+            finish.attempt = outcome->attempt;
+            finish.result =
+                begin.retryOf > 0 ? programs::CallResult::Unknown : programs::CallResult::NotRun;
+            m_context.applyProgram(at, m_context.shardOf(begin.key), finish, at + kWithdrawDeadline,
+                                   [](TimePoint, const Result<programs::ProgramOutcome> &) {});
         });
 }
 
@@ -209,6 +237,8 @@
     if (call == nullptr || call->phase != CallPhase::Beginning)
         return;
     if (!outcome) {
+        if (outcome.error().code == Code::NoQuorum)
+            withdrawIntent(now, intentOf(*call));
         releaseUpstream(now, *call, routing::Ending::Neutral);
         beginRefused(now, *call, outcome.error());
         return;
--- a/libs/daemon/src/call_runner.cpp
+++ b/libs/daemon/src/call_runner.cpp
@@ -228,13 +228,28 @@
         std::erase(memory.holders, call.upstream);
         memory.holders.insert(memory.holders.begin(), call.upstream);
     }
-    // The answer counts only once it is recorded, so this goes on across changes of leader.
-    constexpr Duration kRecordDeadline = std::chrono::seconds(30);
-    m_context.applyProgram(
-        now, m_context.shardOf(finish.key), finish, now + kRecordDeadline,
-        [this, id = call.id](TimePoint at, const Result<programs::ProgramOutcome> &outcome) {
-            recorded(at, id, outcome);
-        });
+    const Error notRecorded{
+        Code::OutcomeUnknown, "the answer could not be recorded in time", Ran::Yes, {}};
+    record(now, call, finish, notRecorded,
+           [this, id = call.id](TimePoint at, const Result<programs::ProgramOutcome> &outcome) {
+               recorded(at, id, outcome);
+           });
+}
+
+void CallRunner::record(TimePoint now, Call &call, const programs::FinishCall &finish,
+                        const Error &late, RecordedHandler done)
+{
+    // The ledger waits for the outcome, so this goes on across changes of leader and losses of
+    // the quorum, long after the caller has been told.
+    constexpr Duration kRecordDeadline = std::chrono::hours(1);
+    constexpr Duration kCallerPatience = std::chrono::seconds(30);
+    m_context.applyProgram(now, m_context.shardOf(finish.key), finish, now + kRecordDeadline,
+                           std::move(done));
+    m_context.timers.add(now + kCallerPatience, [this, id = call.id, late](TimePoint) {
+        auto *waiting = find(id);
+        if (waiting != nullptr && waiting->phase == CallPhase::Finishing)
+            detachCaller(*waiting, late);
+    });
 }
 
 void CallRunner::recorded(TimePoint now, std::uint64_t id,
--- a/libs/replay/test/instance_test.cpp
+++ b/libs/replay/test/instance_test.cpp
@@ -268,6 +268,53 @@
     BOOST_TEST(all.runsOfAllServices() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(anIntentThatTimedOutDoesNotBlockItsProgram)
+{
+    // The quorum is lost at each moment of a service call's way to its recorded intent.
+    for (int delay = 1; delay <= 8; ++delay) {
+        RunningFleet all(24);
+        all.fleet.call("x1", Fleet::modelCall(all.key, "p", "warm up", "t0"));
+        const auto lost = all.fleet.send("x1", Fleet::serviceCall(all.key, "p", "pay", "s1"));
+        all.fleet.run(std::chrono::milliseconds(delay));
+        for (const auto &disk : kDisks)
+            all.fleet.setFrozen(disk, true);
+        all.fleet.run(20s);
+        for (const auto &disk : kDisks)
+            all.fleet.setFrozen(disk, false);
+        all.fleet.run(10s);
+        BOOST_TEST_CONTEXT("lost after " << delay << " ms")
+        {
+            BOOST_TEST(all.fleet.received(lost).ended);
+            const auto again = all.fleet.call("x2", Fleet::serviceCall(all.key, "p", "pay", "s1"));
+            const auto known = again.status == 200 || again.code() == codeOf(Code::OutcomeUnknown);
+            BOOST_TEST(known, "status " << again.status << ", code " << again.code());
+            const auto next = all.fleet.call("x2", Fleet::modelCall(all.key, "p", "on", "t1"));
+            BOOST_TEST(next.status == 200, "status " << next.status << ", code " << next.code());
+            BOOST_TEST(all.runsOfAllServices() <= 1);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerIsRecordedHoweverLongTheQuorumIsAway)
+{
+    RunningFleet all(25);
+    all.fleet.target("registrar-1").serviceTime = 200ms;
+    all.fleet.target("registrar-2").serviceTime = 200ms;
+    const auto first = all.fleet.send("x1", Fleet::serviceCall(all.key, "p", "pay", "s1"));
+    all.fleet.run(100ms);
+    BOOST_REQUIRE(all.runsOfAllServices() == 1);
+    all.fleet.crash("a1");
+    all.fleet.crash("b1");
+    all.fleet.run(60s);
+    BOOST_TEST(all.fleet.received(first).ended);
+    all.fleet.restart("a1");
+    all.fleet.restart("b1");
+    all.fleet.run(10s);
+    const auto again = all.fleet.call("x2", Fleet::serviceCall(all.key, "p", "pay", "s1"));
+    BOOST_TEST(again.status == 200);
+    BOOST_TEST(all.runsOfAllServices() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(theLeadersDeathLosesNoHistory)
 {
     RunningFleet all(23);
