Do not spin while an allowance report waits for the one before

Cause: a report that was due while its shard's last one was under way made the core loop wait for no time at all, so it took time slices from the other threads of the instance. Ruled out: the disk (a sync takes 0.07 ms at p50, 0.13 at p99), admission and queue (all below 1 ms in the histograms).

--- a/libs/daemon/include/heathergate/daemon/internal/call_runner.h
+++ b/libs/daemon/include/heathergate/daemon/internal/call_runner.h
@@ -130,6 +130,7 @@
     limits::AllowanceClient m_allowance;
     control::Revision m_allowanceIncarnation = 0;
     std::set<GroupId> m_allowanceInFlight;
+    TimePoint m_nextAllowanceCheck{};
     std::map<CustomerId, std::deque<std::uint64_t>> m_admitting;
     routing::Router<routing::PrefixAffinity> m_router;
     routing::RetryBudget m_retryBudget;
--- a/libs/daemon/src/call_runner.cpp
+++ b/libs/daemon/src/call_runner.cpp
@@ -88,7 +88,7 @@
     auto next = TimePoint::max();
     for (const auto &[lane, queue] : m_lanes)
         next = std::min(next, queue.nextDeadline());
-    return std::min(next, m_allowance.nextReport());
+    return std::min(next, std::max(m_allowance.nextReport(), m_nextAllowanceCheck));
 }
 
 void CallRunner::pumpAdmission(TimePoint now, const CustomerId &customer)
@@ -127,6 +127,8 @@
     }
     if (now < m_allowance.nextReport() || m_context.incarnation == 0)
         return;
+    // A report that is due may have to wait for the answer to the one before.
+    m_nextAllowanceCheck = now + kAllowanceRecheck;
     for (GroupId shard = 1; shard <= m_context.settings.shards; ++shard) {
         if (m_allowanceInFlight.contains(shard))
             continue;
