Take the server's locks in one order

Cause: ThreadSanitizer, on a real instance under load, showed the lock of an exchange taken both outside and inside the library's lock of a response; only one thread did so, which kept it from being a deadlock. Change: the exchange's lock is not held while an answer is queued; an answer is set once.

--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -121,6 +121,8 @@
         if (!exchange)
             return;
         const std::lock_guard lock(exchange->mutex);
+        if (exchange->response)
+            return;
         exchange->response = std::move(response);
         exchange->ended = true;
         resumeIfSuspended(*exchange);
@@ -132,6 +134,8 @@
         if (!exchange)
             return;
         const std::lock_guard lock(exchange->mutex);
+        if (exchange->response)
+            return;
         exchange->response = std::move(head);
         exchange->streaming = true;
         resumeIfSuspended(*exchange);
@@ -284,9 +288,13 @@
                 respond(exchange.token, problem(Code::QueueFull, "the instance is overloaded"));
             return MHD_YES;
         }
-        const std::lock_guard lock(exchange.mutex);
-        if (!exchange.response || std::exchange(exchange.queued, true))
-            return MHD_YES;
+        {
+            const std::lock_guard lock(exchange.mutex);
+            if (!exchange.response || std::exchange(exchange.queued, true))
+                return MHD_YES;
+        }
+        // The answer does not change any more. The library locks it here, and calls `readStream`
+        // with that lock held, so the exchange's lock must not be held now.
         return exchange.streaming ? queueStream(exchange)
                                   : queueWhole(exchange, *exchange.response);
     }
