--- /dev/null
+++ b/libs/programs/src/program_indexes.cpp
@@ -0,0 +1,93 @@
+#include <heathergate/programs/program_ledger.h>
+
+#include <algorithm>
+
+/// The ledger's indexes of running calls, memory holders and the next expiry.
+namespace heathergate::programs {
+
+void ProgramLedger::setState(const CallPlace &place, CallRecord &record, CallState state)
+{
+    const SenderId sender{record.placement.instance, record.placement.instanceIncarnation};
+    if (record.state == CallState::Running) {
+        const auto calls = m_running.find(sender);
+        if (calls != m_running.end())
+            calls->second.erase(place);
+        if (calls != m_running.end() && calls->second.empty())
+            m_running.erase(calls);
+    }
+    record.state = state;
+    if (state == CallState::Running)
+        m_running[sender].insert(place);
+}
+
+void ProgramLedger::addHolder(const ProgramKey &key, Program &program, const MemoryHolder &holder)
+{
+    std::erase(program.holders, holder);
+    program.holders.push_back(holder);
+    m_holders[holder].insert(key);
+}
+
+void ProgramLedger::dropHolderEntry(const ProgramKey &key, const MemoryHolder &holder)
+{
+    const auto program = m_programs.find(key);
+    const auto stillHeld =
+        program != m_programs.end()
+        && std::find(program->second.holders.begin(), program->second.holders.end(), holder)
+               != program->second.holders.end();
+    const auto found = m_holders.find(holder);
+    if (stillHeld || found == m_holders.end())
+        return;
+    found->second.erase(key);
+    if (found->second.empty())
+        m_holders.erase(found);
+}
+
+void ProgramLedger::dropFromIndexes(const ProgramKey &key, Program &program)
+{
+    for (auto &[id, record] : program.calls) {
+        if (record.state == CallState::Running)
+            setState({key, id}, record, CallState::Interrupted);
+    }
+    const auto holders = std::exchange(program.holders, {});
+    for (const auto &holder : holders) {
+        if (!m_releases.contains({key, holder}))
+            dropHolderEntry(key, holder);
+    }
+}
+
+void ProgramLedger::expectSweep(GroupTime at)
+{
+    m_nextSweep = std::min(m_nextSweep, at);
+}
+
+auto ProgramLedger::nextExpiry(const Program &program) -> GroupTime
+{
+    if (program.status != ProgramStatus::Active)
+        return program.lastActivity + kRetention;
+    auto next = GroupTime::max();
+    if (program.limits.lifetime > Duration::zero())
+        next = std::min(next, program.startedAt + program.limits.lifetime);
+    if (program.limits.idle > Duration::zero())
+        next = std::min(next, program.lastActivity + program.limits.idle);
+    return next;
+}
+
+void ProgramLedger::rebuildIndexes()
+{
+    m_running.clear();
+    m_holders.clear();
+    m_nextSweep = GroupTime::zero();
+    for (const auto &[key, program] : m_programs) {
+        for (const auto &[id, record] : program.calls) {
+            if (record.state == CallState::Running)
+                m_running[{record.placement.instance, record.placement.instanceIncarnation}].insert(
+                    {key, id});
+        }
+        for (const auto &holder : program.holders)
+            m_holders[holder].insert(key);
+    }
+    for (const auto &item : m_releases)
+        m_holders[item.holder].insert(item.key);
+}
+
+} // namespace heathergate::programs
