Add an event loop with HTTP and peer links on one thread

Cause: behind the present server a caller's close goes unseen while its connection is suspended (a caller left after 1 s of a 12 s answer and the engine worked on to the end), paths and repeated headers reach an upstream decoded, and each process wakes four threads for one request. Change: libs/net holds an ACE reactor with timers on a clock that counts suspended time, an HTTP server and client around http_parser that know whether a byte of a request may have been read, and peer links that give up silent connections. PeerSession moves there; Endpoint moves to core. Ruled out: unsuspended long polls in libmicrohttpd (a thread per connection), Boost.Beast (brings its own event loop), llhttp (not in Debian 12 as a library). Before and after: the daemon's tests are green as before; the new parts are not used yet.

--- a/apps/heathergate/fake_upstream.cpp
+++ b/apps/heathergate/fake_upstream.cpp
@@ -93,7 +93,7 @@
     const auto settings = settingsFrom(*values);
     if (settings.models.empty() == settings.services.empty())
         return report("needs either --model or --service");
-    if (const auto endpoint = daemon::parseEndpoint(settings.address); !endpoint)
+    if (const auto endpoint = parseEndpoint(settings.address); !endpoint)
         return report("--address: " + endpoint.error().detail);
     telemetry::startLogging(telemetry::LogLevel::Info, settings.id);
     struct sigaction action
--- a/apps/heathergate/fake_upstream_server.cpp
+++ b/apps/heathergate/fake_upstream_server.cpp
@@ -38,7 +38,7 @@
 
 auto FakeUpstream::start() -> Result<void>
 {
-    const auto endpoint = daemon::parseEndpoint(m_settings.address);
+    const auto endpoint = parseEndpoint(m_settings.address);
     http::ServerSettings server;
     server.address = endpoint->host;
     server.port = endpoint->port;
--- a/libs/core/include/heathergate/core/core.h
+++ b/libs/core/include/heathergate/core/core.h
@@ -2,6 +2,7 @@
 
 /// Umbrella header of the core library: identifiers, time, result codes, hashing and rings.
 #include <heathergate/core/codec.h>
+#include <heathergate/core/endpoint.h>
 #include <heathergate/core/hash.h>
 #include <heathergate/core/ids.h>
 #include <heathergate/core/random.h>
--- a/libs/daemon/include/heathergate/daemon/peer_network.h
+++ b/libs/daemon/include/heathergate/daemon/peer_network.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <heathergate/daemon/peer_session.h>
 #include <heathergate/daemon/settings.h>
+#include <heathergate/net/peer_session.h>
 #include <heathergate/wire/wire.h>
 
 #include <functional>
@@ -26,7 +26,7 @@
     using MessageHandler = std::function<void(InstanceId from, wire::PeerMessage message)>;
 
     /// Starts to listen at `listen`; a port of 0 listens nowhere. Fails with `Code::BadSetting`.
-    [[nodiscard]] static auto start(PeerIdentity identity, const Endpoint &listen,
+    [[nodiscard]] static auto start(net::PeerIdentity identity, const Endpoint &listen,
                                     MessageHandler onMessage)
         -> Result<std::unique_ptr<PeerNetwork>>;
 
--- a/libs/daemon/include/heathergate/daemon/settings.h
+++ b/libs/daemon/include/heathergate/daemon/settings.h
@@ -5,18 +5,6 @@
 
 namespace heathergate::daemon {
 
-/// A host:port pair.
-struct Endpoint
-{
-    std::string host;
-    std::uint16_t port = 0;
-
-    [[nodiscard]] auto text() const -> std::string
-    {
-        return host + ":" + std::to_string(port);
-    }
-};
-
 /// An instance with a disk, known to all instances from their settings.
 struct DiskInstance
 {
@@ -94,7 +82,4 @@
 /// Reads settings from a file.
 [[nodiscard]] auto loadSettings(const std::string &file) -> Result<Settings>;
 
-/// Reads "host:port" with a numeric IPv4 address.
-[[nodiscard]] auto parseEndpoint(std::string_view text) -> Result<Endpoint>;
-
 } // namespace heathergate::daemon
--- a/libs/daemon/src/peer_network.cpp
+++ b/libs/daemon/src/peer_network.cpp
@@ -48,7 +48,7 @@
 class Connection final : public ACE_Event_Handler
 {
 public:
-    Connection(ACE_Reactor &reactor, ConnectionOwner &owner, const PeerIdentity &identity,
+    Connection(ACE_Reactor &reactor, ConnectionOwner &owner, const net::PeerIdentity &identity,
                std::optional<InstanceId> dialled)
         : ACE_Event_Handler(&reactor)
         , m_owner(owner)
@@ -213,7 +213,7 @@
 
     ConnectionOwner &m_owner;
     std::optional<InstanceId> m_dialled;
-    PeerSession m_session;
+    net::PeerSession m_session;
     ACE_SOCK_Stream m_stream;
     std::string m_pending;
     bool m_writing = false;
@@ -225,7 +225,7 @@
 class AcePeerNetwork final : public PeerNetwork, public ConnectionOwner, public ACE_Event_Handler
 {
 public:
-    AcePeerNetwork(PeerIdentity identity, MessageHandler onMessage)
+    AcePeerNetwork(net::PeerIdentity identity, MessageHandler onMessage)
         : m_identity(std::move(identity))
         , m_onMessage(std::move(onMessage))
         , m_reactor(new ACE_Dev_Poll_Reactor, true)
@@ -394,7 +394,7 @@
             dialling->second.waiting.clear();
     }
 
-    PeerIdentity m_identity;
+    net::PeerIdentity m_identity;
     MessageHandler m_onMessage;
     ACE_Reactor m_reactor;
     ACE_SOCK_Acceptor m_acceptor;
@@ -409,8 +409,8 @@
 
 } // namespace
 
-auto PeerNetwork::start(PeerIdentity identity, const Endpoint &listen, MessageHandler onMessage)
-    -> Result<std::unique_ptr<PeerNetwork>>
+auto PeerNetwork::start(net::PeerIdentity identity, const Endpoint &listen,
+                        MessageHandler onMessage) -> Result<std::unique_ptr<PeerNetwork>>
 {
     auto network = std::make_unique<AcePeerNetwork>(std::move(identity), std::move(onMessage));
     if (auto listening = network->listen(listen); !listening)
--- a/libs/daemon/src/server.cpp
+++ b/libs/daemon/src/server.cpp
@@ -122,7 +122,7 @@
         m_client = http::Client::start(
             [this](http::ClientEvent event) { pushPatiently(m_upstreamEvents, std::move(event)); });
         if (m_settings.peer.port != 0) {
-            PeerIdentity identity{m_settings.cluster, m_settings.id, m_settings.fleetSecrets};
+            net::PeerIdentity identity{m_settings.cluster, m_settings.id, m_settings.fleetSecrets};
             auto peers = PeerNetwork::start(
                 std::move(identity), m_settings.peer,
                 [this](InstanceId from, wire::PeerMessage message) {
--- /dev/null
+++ b/libs/net/include/heathergate/net/event_loop.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <heathergate/core/core.h>
+
+#include <ace/Reactor.h>
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+
+/// Sockets and timers of one process on one thread: an ACE reactor with HTTP and peer links on it.
+namespace heathergate::net {
+
+/// The clock of the running system. It counts time during which the machine was suspended, so a
+/// lease does not outlive a suspension.
+class BootClock
+{
+public:
+    [[nodiscard]] auto now() const -> TimePoint;
+};
+
+static_assert(Clock<BootClock>);
+
+/// Names a timer until it has fired or was cancelled; 0 names none.
+using TimerId = std::uint64_t;
+
+/// Runs handlers of sockets, timers and posted actions on the thread that calls `run`.
+class EventLoop
+{
+public:
+    using Action = std::function<void()>;
+
+    EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    auto operator=(const EventLoop &) -> EventLoop & = delete;
+    ~EventLoop();
+
+    /// Returns the time at which the current round of handlers began.
+    [[nodiscard]] auto now() const -> TimePoint
+    {
+        return m_now;
+    }
+
+    /// Runs an action once at `time`.
+    auto at(TimePoint time, Action action) -> TimerId;
+    /// Forgets a timer; one that has fired is ignored.
+    auto cancel(TimerId timer) -> void;
+    /// Runs an action after the current round. Callable from any thread.
+    auto post(Action action) -> void;
+    /// Runs an action at the end of the current round, on this thread.
+    auto defer(Action action) -> void;
+    /// Sets what is called at the end of every round.
+    auto onRoundEnd(Action action) -> void
+    {
+        m_roundEnd = std::move(action);
+    }
+
+    /// Runs until `stop`.
+    auto run() -> void;
+    auto stop() -> void;
+
+    [[nodiscard]] auto reactor() -> ACE_Reactor &
+    {
+        return m_reactor;
+    }
+
+private:
+    auto runTimers() -> void;
+    auto runPosted() -> void;
+    auto runDeferred() -> void;
+
+    BootClock m_clock;
+    TimePoint m_now{};
+    ACE_Reactor m_reactor;
+    std::map<std::pair<TimePoint, TimerId>, Action> m_timers;
+    std::map<TimerId, TimePoint> m_timerTimes;
+    TimerId m_lastTimer = 0;
+    std::deque<Action> m_deferred;
+    Action m_roundEnd;
+    std::mutex m_mutex;
+    std::deque<Action> m_posted;
+    std::atomic<bool> m_stopping = false;
+};
+
+} // namespace heathergate::net
--- /dev/null
+++ b/libs/net/include/heathergate/net/peer_links.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <heathergate/net/peer_session.h>
+#include <heathergate/net/tcp_stream.h>
+
+#include <map>
+#include <set>
+
+namespace heathergate::net {
+
+/// Authenticated connections to other instances, opened when something is sent and replaced when
+/// they fall silent. Messages may be lost with a connection; they never come twice or crossed on
+/// one connection.
+class PeerLinks
+{
+public:
+    struct Handlers
+    {
+        std::function<void(const InstanceId &from, std::string body)> onMessage;
+        /// The last connection with an instance is gone, or none could be opened.
+        std::function<void(const InstanceId &peer)> onLost;
+    };
+
+    /// Creates the links of an instance. `silence` is how long a peer may leave a message
+    /// unanswered until its connection counts as broken.
+    PeerLinks(EventLoop &loop, PeerIdentity identity, Duration silence, Handlers handlers);
+    ~PeerLinks();
+    PeerLinks(const PeerLinks &) = delete;
+    auto operator=(const PeerLinks &) -> PeerLinks & = delete;
+
+    /// Accepts connections of others. Fails with `Code::BadSetting`.
+    [[nodiscard]] auto listen(const Endpoint &at) -> Result<void>;
+    /// Sends a message to the instance `to` that listens at `address`.
+    auto send(const InstanceId &to, const Endpoint &address, std::string body) -> void;
+
+private:
+    class Link;
+
+    auto established(Link &link) -> void;
+    auto lost(Link &link) -> void;
+    auto checkSilence() -> void;
+
+    EventLoop &m_loop;
+    PeerIdentity m_identity;
+    Duration m_silence;
+    Handlers m_handlers;
+    std::unique_ptr<TcpListener> m_listener;
+    std::set<std::shared_ptr<Link>> m_links;
+    /// The established connection with each peer that was opened last.
+    std::map<InstanceId, Link *> m_byPeer;
+    /// Connections that are being opened.
+    std::map<InstanceId, Link *> m_opening;
+    std::map<InstanceId, TimePoint> m_notBefore;
+};
+
+} // namespace heathergate::net
--- a/libs/daemon/include/heathergate/daemon/peer_session.h
+++ b/libs/net/include/heathergate/net/peer_session.h
@@ -4,7 +4,7 @@
 
 #include <optional>
 
-namespace heathergate::daemon {
+namespace heathergate::net {
 
 /// Identity and secrets of an instance towards its peers.
 struct PeerIdentity
@@ -75,4 +75,4 @@
     std::string m_output;
 };
 
-} // namespace heathergate::daemon
+} // namespace heathergate::net
--- /dev/null
+++ b/libs/net/include/heathergate/net/tcp_stream.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <heathergate/net/event_loop.h>
+
+#include <ace/SOCK_Acceptor.h>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace heathergate::net {
+
+/// A non-blocking TCP connection with an output buffer.
+///
+/// Handlers run on the loop's thread. After `close` no handler is called any more; the stream
+/// deletes itself once its owner has let go of it.
+class TcpStream : public ACE_Event_Handler, public std::enable_shared_from_this<TcpStream>
+{
+public:
+    struct Handlers
+    {
+        std::function<void()> onConnected;
+        std::function<void(std::string_view)> onData;
+        /// The peer closed or reset the connection, or it could not be opened. `clean` tells an
+        /// orderly end from a reset.
+        std::function<void(bool clean)> onClosed;
+        /// All output was handed to the system.
+        std::function<void()> onDrained;
+    };
+
+    /// Begins to open a connection; nothing if the system refuses at once.
+    [[nodiscard]] static auto connect(EventLoop &loop, const Endpoint &to, Duration userTimeout)
+        -> std::shared_ptr<TcpStream>;
+    /// Takes over an accepted connection.
+    [[nodiscard]] static auto adopt(EventLoop &loop, ACE_HANDLE handle, Duration userTimeout)
+        -> std::shared_ptr<TcpStream>;
+    ~TcpStream() override;
+
+    auto setHandlers(Handlers handlers) -> void
+    {
+        m_handlers = std::move(handlers);
+    }
+
+    /// Adds bytes to the output.
+    auto write(std::string_view bytes) -> void;
+    /// Closes at once; unsent output is lost.
+    auto close() -> void;
+    /// Closes once all output was handed to the system.
+    auto closeAfterWrite() -> void;
+    /// Stops or resumes reading.
+    auto setReading(bool reading) -> void;
+
+    [[nodiscard]] auto isOpen() const -> bool
+    {
+        return m_handle != ACE_INVALID_HANDLE;
+    }
+    [[nodiscard]] auto isConnected() const -> bool
+    {
+        return m_connected;
+    }
+    [[nodiscard]] auto pendingOutput() const -> std::size_t
+    {
+        return m_output.size() - m_written;
+    }
+    /// Returns whether any byte was handed to the system.
+    [[nodiscard]] auto hasWritten() const -> bool
+    {
+        return m_everWritten;
+    }
+    /// Marks the beginning of a message: `hasWritten` counts from here.
+    auto beginMessage() -> void
+    {
+        m_everWritten = false;
+    }
+
+private:
+    TcpStream(EventLoop &loop, ACE_HANDLE handle, bool connected);
+
+    [[nodiscard]] auto get_handle() const -> ACE_HANDLE override
+    {
+        return m_handle;
+    }
+    auto handle_input(ACE_HANDLE) -> int override;
+    auto handle_output(ACE_HANDLE) -> int override;
+
+    auto setUserTimeout(Duration timeout) -> void;
+    auto updateInterest() -> void;
+    auto flush() -> void;
+    auto fail(bool clean) -> void;
+
+    EventLoop &m_loop;
+    ACE_HANDLE m_handle;
+    bool m_connected = false;
+    bool m_reading = true;
+    bool m_closeWhenDrained = false;
+    bool m_everWritten = false;
+    bool m_flushPlanned = false;
+    ACE_Reactor_Mask m_interest = ACE_Event_Handler::NULL_MASK;
+    std::string m_output;
+    std::size_t m_written = 0;
+    Handlers m_handlers;
+};
+
+/// A listening socket.
+class TcpListener : public ACE_Event_Handler
+{
+public:
+    using AcceptHandler = std::function<void(std::shared_ptr<TcpStream>)>;
+
+    /// Listens on `at`. Fails with `Code::BadSetting`. `userTimeout` bounds how long sent bytes of
+    /// an accepted connection may stay unacknowledged.
+    [[nodiscard]] static auto listen(EventLoop &loop, const Endpoint &at, Duration userTimeout,
+                                     AcceptHandler onAccept)
+        -> Result<std::unique_ptr<TcpListener>>;
+    ~TcpListener() override;
+
+    /// Stops listening.
+    auto close() -> void;
+
+private:
+    TcpListener(EventLoop &loop, Duration userTimeout, AcceptHandler onAccept);
+    auto handle_input(ACE_HANDLE) -> int override;
+    [[nodiscard]] auto get_handle() const -> ACE_HANDLE override
+    {
+        return m_acceptor.get_handle();
+    }
+
+    EventLoop &m_loop;
+    Duration m_userTimeout;
+    AcceptHandler m_onAccept;
+    ACE_SOCK_Acceptor m_acceptor;
+};
+
+} // namespace heathergate::net
--- /dev/null
+++ b/libs/net/src/http_client.cpp
@@ -0,0 +1,286 @@
+#include <heathergate/net/http_client.h>
+
+#include <charconv>
+
+namespace heathergate::net {
+
+namespace {
+
+constexpr std::size_t kMaxHeadBytes = 64 * 1024;
+/// Longest time until a connection to a server on the same network is established.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+/// Longest time for which sent bytes may stay unacknowledged.
+constexpr Duration kServerUserTimeout = std::chrono::milliseconds(1500);
+/// Idle time after which a kept connection is closed if the server states none.
+constexpr Duration kDefaultKeepAlive = std::chrono::seconds(4);
+/// Part of the stated keep-alive time that is not used, so that a request does not cross the
+/// server's close.
+constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(600);
+constexpr std::size_t kMaxIdlePerServer = 8;
+
+/// Returns the idle time that a server allows, as its `Keep-Alive` header states it.
+auto allowedIdle(const HttpHead &head) -> Duration
+{
+    const auto value = head.headers.value("Keep-Alive");
+    const auto at = value.find("timeout=");
+    if (at == std::string_view::npos)
+        return kDefaultKeepAlive;
+    int seconds = 0;
+    const auto digits = value.substr(at + 8);
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds(seconds) - kKeepAliveMargin;
+}
+
+} // namespace
+
+/// One connection to a server.
+class HttpClient::Connection : public std::enable_shared_from_this<HttpClient::Connection>
+{
+public:
+    Connection(HttpClient &client, Endpoint server)
+        : m_client(client)
+        , m_server(std::move(server))
+        , m_parser(HttpParser::Kind::Response, kMaxHeadBytes,
+                   {[this](HttpHead head) { headRead(std::move(head)); },
+                    [this](std::string_view bytes) { bodyRead(bytes); }, [] {}})
+    {
+    }
+
+    ~Connection()
+    {
+        close();
+    }
+
+    Connection(const Connection &) = delete;
+    auto operator=(const Connection &) -> Connection & = delete;
+
+    [[nodiscard]] auto server() const -> const Endpoint &
+    {
+        return m_server;
+    }
+
+    /// Opens the connection. Returns false if the system refuses at once.
+    auto open() -> bool
+    {
+        m_stream = TcpStream::connect(m_client.m_loop, m_server, kServerUserTimeout);
+        if (!m_stream)
+            return false;
+        m_stream->setHandlers({[this] { m_client.m_loop.cancel(std::exchange(m_timer, 0)); },
+                               [this](std::string_view bytes) { received(bytes); },
+                               [this](bool clean) { closedByServer(clean); },
+                               {}});
+        m_timer = m_client.m_loop.at(m_client.m_loop.now() + kConnectTimeout,
+                                     [this] { closedByServer(false); });
+        return true;
+    }
+
+    auto start(OutgoingId id, OutgoingRequest request) -> void
+    {
+        if (m_stream->isConnected())
+            m_client.m_loop.cancel(std::exchange(m_timer, 0));
+        m_id = id;
+        m_request = std::move(request);
+        m_parser.reset();
+        m_keep = false;
+        m_skipping = false;
+        m_stream->beginMessage();
+        m_stream->write(m_request.bytes);
+        m_request.bytes.clear();
+    }
+
+    auto close() -> void
+    {
+        m_client.m_loop.cancel(std::exchange(m_timer, 0));
+        if (m_stream)
+            m_stream->close();
+    }
+
+    [[nodiscard]] auto hasSent() const -> bool
+    {
+        return m_stream && m_stream->hasWritten();
+    }
+    [[nodiscard]] auto isUsable(TimePoint now, Duration maxIdle) const -> bool
+    {
+        return m_stream && m_stream->isOpen() && now - m_idleSince <= maxIdle;
+    }
+
+    /// Keeps the connection until the server's keep-alive time ends.
+    auto keepIdle() -> void
+    {
+        m_idleSince = m_client.m_loop.now();
+        m_id = 0;
+        m_timer = m_client.m_loop.at(m_idleSince + m_allowedIdle,
+                                     [this] { m_client.drop(shared_from_this()); });
+    }
+
+private:
+    auto received(std::string_view bytes) -> void
+    {
+        const auto self = shared_from_this();
+        if (m_id == 0)
+            return m_client.drop(self); // Nothing was asked.
+        while (m_id != 0 && m_stream->isOpen() && !bytes.empty()) {
+            const auto used = m_parser.feed(bytes);
+            if (!m_stream->isOpen() || m_id == 0)
+                return;
+            if (!used)
+                return end(false);
+            bytes.remove_prefix(*used);
+            if (m_parser.hasEnded() && !messageEnded(bytes.empty()))
+                return;
+        }
+    }
+
+    /// Handles the end of an answer. Returns whether to go on reading.
+    auto messageEnded(bool exact) -> bool
+    {
+        if (m_skipping) {
+            m_parser.reset();
+            return true;
+        }
+        // Bytes behind the answer belong to no request, and output that is not out yet would be
+        // taken for part of the next one.
+        m_keep = m_keep && exact && m_stream->pendingOutput() == 0;
+        end(true);
+        return false;
+    }
+
+    auto headRead(HttpHead head) -> void
+    {
+        constexpr int kFirstFinalStatus = 200;
+        const auto *echo = head.headers.find(m_request.echoName);
+        m_skipping =
+            head.status < kFirstFinalStatus
+            || (!m_request.echoName.empty() && echo != nullptr && *echo != m_request.echoValue);
+        if (m_skipping)
+            return;
+        m_keep = head.keepAlive;
+        m_allowedIdle = allowedIdle(head);
+        if (m_allowedIdle <= Duration::zero())
+            m_keep = false;
+        m_client.m_handlers.onHead(m_id, head);
+    }
+
+    auto bodyRead(std::string_view bytes) -> void
+    {
+        if (!m_skipping && m_id != 0)
+            m_client.m_handlers.onBody(m_id, bytes);
+    }
+
+    auto closedByServer(bool clean) -> void
+    {
+        const auto self = shared_from_this();
+        if (m_id == 0)
+            return m_client.drop(self);
+        const auto complete = clean && m_parser.finish() && !m_skipping;
+        m_keep = false;
+        end(complete);
+    }
+
+    auto end(bool complete) -> void
+    {
+        const auto self = shared_from_this();
+        const auto id = std::exchange(m_id, 0);
+        const OutgoingEnd how{complete, m_stream->isConnected(), m_stream->hasWritten()};
+        auto &client = m_client;
+        client.m_active.erase(id);
+        if (complete && m_keep && m_stream->isOpen())
+            client.release(self);
+        else
+            close();
+        client.m_loop.defer([self] {});
+        client.m_handlers.onEnd(id, how);
+    }
+
+    HttpClient &m_client;
+    Endpoint m_server;
+    std::shared_ptr<TcpStream> m_stream;
+    HttpParser m_parser;
+    OutgoingId m_id = 0;
+    OutgoingRequest m_request;
+    bool m_keep = false;
+    /// The answer that is being read belongs to another request.
+    bool m_skipping = false;
+    Duration m_allowedIdle{};
+    TimePoint m_idleSince{};
+    TimerId m_timer = 0;
+};
+
+HttpClient::HttpClient(EventLoop &loop, Handlers handlers)
+    : m_loop(loop)
+    , m_handlers(std::move(handlers))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+auto HttpClient::send(OutgoingId id, OutgoingRequest request) -> void
+{
+    std::shared_ptr<Connection> connection;
+    auto &idle = m_idle[request.to];
+    while (!connection && !idle.empty()) {
+        auto last = idle.back();
+        if (!last->isUsable(m_loop.now(), request.maxIdle))
+            break; // The others were idle for longer.
+        idle.pop_back();
+        connection = std::move(last);
+    }
+    if (!connection) {
+        connection = std::make_shared<Connection>(*this, request.to);
+        if (!connection->open()) {
+            m_loop.post([this, id] { m_handlers.onEnd(id, {}); });
+            return;
+        }
+    }
+    m_active[id] = connection;
+    connection->start(id, std::move(request));
+}
+
+auto HttpClient::cancel(OutgoingId id) -> bool
+{
+    const auto found = m_active.find(id);
+    if (found == m_active.end())
+        return false;
+    const auto connection = found->second;
+    m_active.erase(found);
+    const auto sent = connection->hasSent();
+    connection->close();
+    m_loop.defer([connection] {});
+    return sent;
+}
+
+auto HttpClient::forget(const Endpoint &server) -> void
+{
+    const auto found = m_idle.find(server);
+    if (found == m_idle.end())
+        return;
+    for (const auto &connection : std::exchange(found->second, {})) {
+        connection->close();
+        m_loop.defer([connection] {});
+    }
+    m_idle.erase(found);
+}
+
+auto HttpClient::release(const std::shared_ptr<Connection> &connection) -> void
+{
+    auto &idle = m_idle[connection->server()];
+    connection->keepIdle();
+    idle.push_back(connection);
+    if (idle.size() <= kMaxIdlePerServer)
+        return;
+    const auto oldest = idle.front();
+    idle.pop_front();
+    oldest->close();
+    m_loop.defer([oldest] {});
+}
+
+auto HttpClient::drop(const std::shared_ptr<Connection> &connection) -> void
+{
+    const auto found = m_idle.find(connection->server());
+    if (found != m_idle.end())
+        std::erase(found->second, connection);
+    connection->close();
+    m_loop.defer([connection] {});
+}
+
+} // namespace heathergate::net
--- /dev/null
+++ b/libs/net/src/http_server.cpp
@@ -0,0 +1,337 @@
+#include <heathergate/net/http_server.h>
+
+namespace heathergate::net {
+
+namespace {
+
+/// The lower bits of an exchange's number count the requests of its connection.
+constexpr unsigned kRequestBits = 24;
+constexpr std::uint64_t kRequestMask = (std::uint64_t{1} << kRequestBits) - 1;
+/// Longest time for which sent bytes of a client connection may stay unacknowledged.
+constexpr Duration kClientUserTimeout = std::chrono::seconds(6);
+/// Bytes sent ahead of an answer that a connection keeps before it stops reading.
+constexpr std::size_t kMaxAheadBytes = 64 * 1024;
+
+auto errorResponse(int status) -> HttpResponse
+{
+    HttpResponse response;
+    response.status = status;
+    return response;
+}
+
+} // namespace
+
+/// One client's connection.
+class HttpServer::Connection
+{
+public:
+    Connection(HttpServer &server, std::uint64_t id, std::shared_ptr<TcpStream> stream)
+        : m_server(server)
+        , m_id(id)
+        , m_stream(std::move(stream))
+        , m_parser(HttpParser::Kind::Request, server.m_limits.maxHeadBytes,
+                   {[this](HttpHead head) { headRead(std::move(head)); },
+                    [this](std::string_view bytes) { bodyRead(bytes); }, [] {}})
+    {
+        m_stream->setHandlers({{},
+                               [this](std::string_view bytes) { received(bytes); },
+                               [this](bool) { gone(); },
+                               {}});
+        armTimer(m_server.m_limits.idleTimeout);
+    }
+
+    ~Connection()
+    {
+        m_server.m_loop.cancel(m_timer);
+        m_stream->close();
+    }
+
+    Connection(const Connection &) = delete;
+    auto operator=(const Connection &) -> Connection & = delete;
+
+    [[nodiscard]] auto exchange() const -> ExchangeId
+    {
+        return (m_id << kRequestBits) | (m_requests & kRequestMask);
+    }
+    [[nodiscard]] auto isAnswering(ExchangeId exchange) const -> bool
+    {
+        return m_busy && exchange == this->exchange();
+    }
+    [[nodiscard]] auto isBusy() const -> bool
+    {
+        return m_busy;
+    }
+    [[nodiscard]] auto isIdle() const -> bool
+    {
+        return !m_busy && !m_parser.isInMessage() && m_input.empty();
+    }
+
+    auto respond(const HttpResponse &response) -> void
+    {
+        auto out = head(response.status, response.headers);
+        appendHeader(out, "Content-Length", std::to_string(response.body.size()));
+        out += "\r\n";
+        out += response.body;
+        m_stream->write(out);
+        finish();
+    }
+
+    auto beginStream(int status, const HeaderList &headers) -> void
+    {
+        auto out = head(status, headers);
+        appendHeader(out, "Transfer-Encoding", "chunked");
+        out += "\r\n";
+        m_stream->write(out);
+    }
+
+    auto write(std::string_view bytes) -> void
+    {
+        std::string out;
+        appendChunk(out, bytes);
+        m_stream->write(out);
+    }
+
+    auto endStream(bool complete) -> void
+    {
+        if (!complete)
+            return closeNow();
+        m_stream->write(kLastChunk);
+        finish();
+    }
+
+    /// Closes without a complete answer: the client sees the missing last chunk.
+    auto closeNow() -> void
+    {
+        m_busy = false;
+        m_stream->closeAfterWrite();
+        m_server.remove(m_id);
+    }
+
+private:
+    [[nodiscard]] auto head(int status, const HeaderList &headers) -> std::string
+    {
+        m_lastAnswer = m_server.m_closing || m_closeAfterAnswer;
+        std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+        out.append(reasonPhrase(status)).append("\r\n");
+        for (const auto &field : headers.fields())
+            appendHeader(out, field.name, field.value);
+        if (m_lastAnswer)
+            appendHeader(out, "Connection", "close");
+        return out;
+    }
+
+    auto finish() -> void
+    {
+        m_busy = false;
+        if (m_lastAnswer) {
+            m_stream->closeAfterWrite();
+            m_server.remove(m_id);
+            return;
+        }
+        m_parser.reset();
+        m_stream->setReading(true);
+        armTimer(m_server.m_limits.idleTimeout);
+        if (!m_input.empty())
+            m_server.m_loop.defer([&server = m_server, id = m_id] {
+                const auto found = server.m_connections.find(id);
+                if (found != server.m_connections.end())
+                    found->second->parse();
+            });
+    }
+
+    auto received(std::string_view bytes) -> void
+    {
+        m_input.append(bytes);
+        if (!m_busy)
+            return parse();
+        if (m_input.size() > kMaxAheadBytes)
+            m_stream->setReading(false);
+    }
+
+    auto parse() -> void
+    {
+        while (!m_busy && !m_input.empty()) {
+            const auto fresh = !m_parser.isInMessage();
+            const auto used = m_parser.feed(m_input);
+            if (m_refusal != 0)
+                return reject(m_refusal);
+            if (!used)
+                return reject(used.error().code == Code::BodyTooLarge ? 431 : 400);
+            m_input.erase(0, *used);
+            if (m_parser.hasEnded())
+                return dispatch();
+            if (fresh || m_parser.hasHead())
+                armTimer(m_parser.hasHead() ? m_server.m_limits.idleTimeout
+                                            : m_server.m_limits.headTimeout);
+        }
+    }
+
+    auto headRead(HttpHead head) -> void
+    {
+        if (head.contentLength && *head.contentLength > m_server.m_limits.maxBodyBytes)
+            m_refusal = 413;
+        const auto *expectation = head.headers.find("Expect");
+        if (expectation != nullptr && equalNames(*expectation, "100-continue"))
+            m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+        m_request.head = std::move(head);
+    }
+
+    auto bodyRead(std::string_view bytes) -> void
+    {
+        if (m_request.body.size() + bytes.size() > m_server.m_limits.maxBodyBytes)
+            m_refusal = 413;
+        else
+            m_request.body.append(bytes);
+    }
+
+    auto dispatch() -> void
+    {
+        m_server.m_loop.cancel(m_timer);
+        m_busy = true;
+        ++m_requests;
+        m_closeAfterAnswer = !m_request.head.keepAlive;
+        auto request = std::exchange(m_request, {});
+        m_server.m_handlers.onRequest(exchange(), std::move(request));
+    }
+
+    auto reject(int status) -> void
+    {
+        m_closeAfterAnswer = true;
+        respond(errorResponse(status));
+    }
+
+    auto gone() -> void
+    {
+        const auto wasBusy = m_busy;
+        const auto id = exchange();
+        auto &server = m_server;
+        server.remove(m_id);
+        if (wasBusy)
+            server.m_handlers.onGone(id);
+    }
+
+    auto armTimer(Duration delay) -> void
+    {
+        auto &loop = m_server.m_loop;
+        loop.cancel(m_timer);
+        m_timer = loop.at(loop.now() + delay, [this] {
+            if (m_parser.isInMessage())
+                reject(408);
+            else
+                closeNow();
+        });
+    }
+
+    HttpServer &m_server;
+    std::uint64_t m_id;
+    std::shared_ptr<TcpStream> m_stream;
+    HttpParser m_parser;
+    HttpRequest m_request;
+    std::string m_input;
+    std::uint64_t m_requests = 0;
+    bool m_busy = false;
+    bool m_closeAfterAnswer = false;
+    bool m_lastAnswer = false;
+    /// Status with which the message that is being read must be refused; 0 if none.
+    int m_refusal = 0;
+    TimerId m_timer = 0;
+};
+
+HttpServer::HttpServer(EventLoop &loop, Handlers handlers)
+    : m_loop(loop)
+    , m_handlers(std::move(handlers))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+auto HttpServer::listen(const Endpoint &at) -> Result<void>
+{
+    auto listener = TcpListener::listen(
+        m_loop, at, kClientUserTimeout,
+        [this](std::shared_ptr<TcpStream> stream) { accepted(std::move(stream)); });
+    if (!listener)
+        return tl::unexpected(listener.error());
+    m_listener = std::move(*listener);
+    return {};
+}
+
+auto HttpServer::accepted(std::shared_ptr<TcpStream> stream) -> void
+{
+    const auto id = ++m_lastConnection;
+    m_connections.emplace(id, std::make_unique<Connection>(*this, id, std::move(stream)));
+}
+
+auto HttpServer::find(ExchangeId exchange) -> Connection *
+{
+    const auto found = m_connections.find(exchange >> kRequestBits);
+    if (found == m_connections.end() || !found->second->isAnswering(exchange))
+        return nullptr;
+    return found->second.get();
+}
+
+auto HttpServer::remove(std::uint64_t connection) -> void
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end())
+        return;
+    // The connection may be the caller.
+    std::shared_ptr<Connection> last(std::move(found->second));
+    m_connections.erase(found);
+    m_loop.defer([last] {});
+}
+
+auto HttpServer::respond(ExchangeId exchange, const HttpResponse &response) -> void
+{
+    if (auto *connection = find(exchange))
+        connection->respond(response);
+}
+
+auto HttpServer::beginStream(ExchangeId exchange, int status, const HeaderList &headers) -> void
+{
+    if (auto *connection = find(exchange))
+        connection->beginStream(status, headers);
+}
+
+auto HttpServer::write(ExchangeId exchange, std::string_view bytes) -> void
+{
+    if (auto *connection = find(exchange))
+        connection->write(bytes);
+}
+
+auto HttpServer::endStream(ExchangeId exchange, bool complete) -> void
+{
+    if (auto *connection = find(exchange))
+        connection->endStream(complete);
+}
+
+auto HttpServer::abort(ExchangeId exchange) -> void
+{
+    if (auto *connection = find(exchange))
+        connection->closeNow();
+}
+
+auto HttpServer::closeIdle() -> void
+{
+    std::vector<Connection *> idle;
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->isIdle())
+            idle.push_back(connection.get());
+    }
+    for (auto *connection : idle)
+        connection->closeNow();
+}
+
+auto HttpServer::stopListening() -> void
+{
+    m_listener.reset();
+}
+
+auto HttpServer::openExchanges() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [](const auto &item) { return item.second->isBusy(); }));
+}
+
+} // namespace heathergate::net
--- /dev/null
+++ b/libs/net/src/peer_links.cpp
@@ -0,0 +1,209 @@
+#include <heathergate/net/peer_links.h>
+
+#include <heathergate/core/hash.h>
+
+namespace heathergate::net {
+
+namespace {
+
+constexpr std::size_t kNonceBytes = 16;
+/// Longest time until a connection is open and both sides have proved who they are.
+constexpr Duration kOpenTimeout = std::chrono::milliseconds(800);
+/// Pause between attempts to open a connection to the same instance.
+constexpr Duration kRedialPause = std::chrono::milliseconds(100);
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(200);
+/// Bytes kept for a peer that does not read; beyond them its connection is given up.
+constexpr std::size_t kMaxPendingBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxWaiting = 256;
+
+} // namespace
+
+/// One connection with another instance.
+class PeerLinks::Link : public std::enable_shared_from_this<PeerLinks::Link>
+{
+public:
+    Link(PeerLinks &links, std::optional<InstanceId> dialled)
+        : m_links(links)
+        , m_dialled(std::move(dialled))
+        , m_session(links.m_identity, m_dialled, secureRandom(kNonceBytes))
+    {
+    }
+
+    ~Link()
+    {
+        close();
+    }
+
+    Link(const Link &) = delete;
+    auto operator=(const Link &) -> Link & = delete;
+
+    auto open(std::shared_ptr<TcpStream> stream) -> void
+    {
+        m_stream = std::move(stream);
+        m_stream->setHandlers({{},
+                               [this](std::string_view bytes) { received(bytes); },
+                               [this](bool) { m_links.lost(*this); },
+                               {}});
+        m_stream->write(m_session.takeOutput());
+        m_openTimer =
+            m_links.m_loop.at(m_links.m_loop.now() + kOpenTimeout, [this] { m_links.lost(*this); });
+    }
+
+    auto send(const std::string &body) -> void
+    {
+        if (!m_session.isEstablished()) {
+            if (m_waiting.size() < kMaxWaiting)
+                m_waiting.push_back(body);
+            return;
+        }
+        m_session.send(body);
+        m_stream->write(m_session.takeOutput());
+        if (!m_unansweredSince)
+            m_unansweredSince = m_links.m_loop.now();
+        if (m_stream->pendingOutput() > kMaxPendingBytes)
+            m_links.m_loop.defer([self = shared_from_this()] {
+                if (self->m_stream->isOpen())
+                    self->m_links.lost(*self);
+            });
+    }
+
+    auto close() -> void
+    {
+        m_links.m_loop.cancel(std::exchange(m_openTimer, 0));
+        if (m_stream)
+            m_stream->close();
+    }
+
+    [[nodiscard]] auto peer() const -> const InstanceId &
+    {
+        return m_session.isEstablished() || !m_dialled ? m_session.peer() : *m_dialled;
+    }
+    [[nodiscard]] auto isEstablished() const -> bool
+    {
+        return m_session.isEstablished();
+    }
+    [[nodiscard]] auto isSilent(TimePoint now, Duration most) const -> bool
+    {
+        return m_unansweredSince && now - *m_unansweredSince > most;
+    }
+
+private:
+    auto received(std::string_view bytes) -> void
+    {
+        const auto self = shared_from_this();
+        const auto wasEstablished = m_session.isEstablished();
+        auto bodies = m_session.receive(bytes);
+        m_unansweredSince.reset();
+        if (!bodies)
+            return m_links.lost(*this);
+        m_stream->write(m_session.takeOutput());
+        if (!wasEstablished && m_session.isEstablished()) {
+            m_links.m_loop.cancel(std::exchange(m_openTimer, 0));
+            m_links.established(*this);
+            for (const auto &body : std::exchange(m_waiting, {}))
+                send(body);
+        }
+        for (auto &body : *bodies) {
+            if (!body.empty() && m_stream->isOpen())
+                m_links.m_handlers.onMessage(m_session.peer(), std::move(body));
+        }
+    }
+
+    PeerLinks &m_links;
+    std::optional<InstanceId> m_dialled;
+    PeerSession m_session;
+    std::shared_ptr<TcpStream> m_stream;
+    std::vector<std::string> m_waiting;
+    std::optional<TimePoint> m_unansweredSince;
+    TimerId m_openTimer = 0;
+};
+
+PeerLinks::PeerLinks(EventLoop &loop, PeerIdentity identity, Duration silence, Handlers handlers)
+    : m_loop(loop)
+    , m_identity(std::move(identity))
+    , m_silence(silence)
+    , m_handlers(std::move(handlers))
+{
+    checkSilence();
+}
+
+PeerLinks::~PeerLinks() = default;
+
+auto PeerLinks::listen(const Endpoint &at) -> Result<void>
+{
+    auto listener =
+        TcpListener::listen(m_loop, at, m_silence, [this](std::shared_ptr<TcpStream> stream) {
+            auto link = std::make_shared<Link>(*this, std::nullopt);
+            m_links.insert(link);
+            link->open(std::move(stream));
+        });
+    if (!listener)
+        return tl::unexpected(listener.error());
+    m_listener = std::move(*listener);
+    return {};
+}
+
+auto PeerLinks::send(const InstanceId &to, const Endpoint &address, std::string body) -> void
+{
+    if (const auto known = m_byPeer.find(to); known != m_byPeer.end())
+        return known->second->send(body);
+    if (const auto opening = m_opening.find(to); opening != m_opening.end())
+        return opening->second->send(body);
+    auto &notBefore = m_notBefore[to];
+    if (m_loop.now() < notBefore)
+        return;
+    notBefore = m_loop.now() + kRedialPause;
+    auto stream = TcpStream::connect(m_loop, address, m_silence);
+    if (!stream)
+        return m_loop.defer([this, to] { m_handlers.onLost(to); });
+    auto link = std::make_shared<Link>(*this, to);
+    m_links.insert(link);
+    m_opening[to] = link.get();
+    link->open(std::move(stream));
+    link->send(body);
+}
+
+auto PeerLinks::established(Link &link) -> void
+{
+    const auto opening = m_opening.find(link.peer());
+    if (opening != m_opening.end() && opening->second == &link)
+        m_opening.erase(opening);
+    m_byPeer[link.peer()] = &link;
+}
+
+auto PeerLinks::lost(Link &link) -> void
+{
+    const auto self = link.shared_from_this();
+    const auto peer = link.peer();
+    link.close();
+    m_links.erase(self);
+    m_loop.defer([self] {});
+    const auto opening = m_opening.find(peer);
+    if (opening != m_opening.end() && opening->second == &link)
+        m_opening.erase(opening);
+    const auto known = m_byPeer.find(peer);
+    if (known != m_byPeer.end() && known->second == &link) {
+        m_byPeer.erase(known);
+        // Another connection with the same peer may still be there.
+        for (const auto &other : m_links) {
+            if (other->isEstablished() && other->peer() == peer)
+                m_byPeer[peer] = other.get();
+        }
+    }
+    if (!peer.empty() && !m_byPeer.contains(peer))
+        m_handlers.onLost(peer);
+}
+
+auto PeerLinks::checkSilence() -> void
+{
+    std::vector<std::shared_ptr<Link>> silent;
+    for (const auto &link : m_links) {
+        if (link->isSilent(m_loop.now(), m_silence))
+            silent.push_back(link);
+    }
+    for (const auto &link : silent)
+        lost(*link);
+    m_loop.at(m_loop.now() + kSilenceCheckInterval, [this] { checkSilence(); });
+}
+
+} // namespace heathergate::net
--- a/libs/daemon/src/peer_session.cpp
+++ b/libs/net/src/peer_session.cpp
@@ -1,6 +1,6 @@
-#include <heathergate/daemon/peer_session.h>
+#include <heathergate/net/peer_session.h>
 
-namespace heathergate::daemon {
+namespace heathergate::net {
 
 namespace {
 
@@ -157,4 +157,4 @@
     m_output += frame;
 }
 
-} // namespace heathergate::daemon
+} // namespace heathergate::net
--- /dev/null
+++ b/libs/net/src/tcp_stream.cpp
@@ -0,0 +1,273 @@
+#include <heathergate/net/tcp_stream.h>
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+#include <array>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sys/select.h>
+
+namespace heathergate::net {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+/// Handles at or above this number do not fit the reactor's descriptor sets.
+constexpr ACE_HANDLE kHandleLimit = FD_SETSIZE - 8;
+/// Keep-alive probes find connections whose path has gone silent: idle seconds before the first
+/// probe, seconds between probes, and unanswered probes until the connection counts as lost.
+constexpr int kKeepAliveIdleSeconds = 2;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr int kListenBacklog = 256;
+
+auto setOption(ACE_HANDLE handle, int level, int name, int value) -> void
+{
+    // Each of these options only improves on the system's default.
+    static_cast<void>(::setsockopt(handle, level, name, &value, sizeof(value)));
+}
+
+} // namespace
+
+TcpStream::TcpStream(EventLoop &loop, ACE_HANDLE handle, bool connected)
+    : m_loop(loop)
+    , m_handle(handle)
+    , m_connected(connected)
+{
+    reactor(&loop.reactor());
+    ACE_SOCK_Stream stream(handle);
+    stream.enable(ACE_NONBLOCK);
+    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+TcpStream::~TcpStream()
+{
+    close();
+}
+
+auto TcpStream::connect(EventLoop &loop, const Endpoint &to, Duration userTimeout)
+    -> std::shared_ptr<TcpStream>
+{
+    ACE_SOCK_Connector connector;
+    ACE_SOCK_Stream socket;
+    const ACE_INET_Addr address(to.port, to.host.c_str());
+    const auto status = connector.connect(socket, address, &ACE_Time_Value::zero);
+    if (status != 0 && errno != EWOULDBLOCK && errno != EINPROGRESS) {
+        socket.close();
+        return nullptr;
+    }
+    if (socket.get_handle() >= kHandleLimit) {
+        socket.close();
+        return nullptr;
+    }
+    std::shared_ptr<TcpStream> stream(new TcpStream(loop, socket.get_handle(), false));
+    stream->setUserTimeout(userTimeout);
+    stream->updateInterest();
+    return stream;
+}
+
+auto TcpStream::adopt(EventLoop &loop, ACE_HANDLE handle, Duration userTimeout)
+    -> std::shared_ptr<TcpStream>
+{
+    std::shared_ptr<TcpStream> stream(new TcpStream(loop, handle, true));
+    stream->setUserTimeout(userTimeout);
+    stream->updateInterest();
+    return stream;
+}
+
+auto TcpStream::setUserTimeout(Duration timeout) -> void
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+    setOption(m_handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(milliseconds.count()));
+}
+
+auto TcpStream::write(std::string_view bytes) -> void
+{
+    if (!isOpen() || bytes.empty())
+        return;
+    m_output.append(bytes);
+    if (!m_connected || std::exchange(m_flushPlanned, true))
+        return;
+    // All that is written in one round leaves in one system call.
+    m_loop.defer([self = shared_from_this()] {
+        self->m_flushPlanned = false;
+        self->flush();
+    });
+}
+
+auto TcpStream::close() -> void
+{
+    if (!isOpen())
+        return;
+    const auto handle = std::exchange(m_handle, ACE_INVALID_HANDLE);
+    m_loop.reactor().remove_handler(handle, ACE_Event_Handler::ALL_EVENTS_MASK
+                                                | ACE_Event_Handler::DONT_CALL);
+    ACE_OS::closesocket(handle);
+    // Handlers may hold the owner; they go once the current call has returned.
+    if (auto self = weak_from_this().lock())
+        m_loop.defer([self, handlers = std::make_shared<Handlers>(std::move(m_handlers))] {});
+    m_handlers = {};
+}
+
+auto TcpStream::closeAfterWrite() -> void
+{
+    m_closeWhenDrained = true;
+    if (pendingOutput() == 0)
+        close();
+}
+
+auto TcpStream::setReading(bool reading) -> void
+{
+    if (m_reading == reading || !isOpen())
+        return;
+    m_reading = reading;
+    updateInterest();
+}
+
+auto TcpStream::updateInterest() -> void
+{
+    if (!isOpen())
+        return;
+    ACE_Reactor_Mask wanted = ACE_Event_Handler::NULL_MASK;
+    if (m_connected && m_reading)
+        wanted |= ACE_Event_Handler::READ_MASK;
+    if (!m_connected || pendingOutput() > 0)
+        wanted |= ACE_Event_Handler::WRITE_MASK;
+    if (wanted == m_interest)
+        return;
+    if (m_interest == ACE_Event_Handler::NULL_MASK)
+        m_loop.reactor().register_handler(m_handle, this, wanted);
+    else {
+        m_loop.reactor().mask_ops(m_handle, wanted, ACE_Reactor::SET_MASK);
+    }
+    m_interest = wanted;
+}
+
+auto TcpStream::flush() -> void
+{
+    while (isOpen() && pendingOutput() > 0) {
+        const auto sent = ::send(m_handle, m_output.data() + m_written, pendingOutput(),
+                                 MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent < 0 && errno == EINTR)
+            continue;
+        if (sent < 0 && (errno == EWOULDBLOCK || errno == EAGAIN))
+            break;
+        if (sent < 0)
+            return fail(false);
+        m_everWritten = true;
+        m_written += static_cast<std::size_t>(sent);
+    }
+    if (!isOpen())
+        return;
+    if (pendingOutput() == 0) {
+        m_output.clear();
+        m_written = 0;
+        if (m_closeWhenDrained)
+            return close();
+        if (m_handlers.onDrained) {
+            const auto self = shared_from_this();
+            self->m_handlers.onDrained();
+        }
+    }
+    updateInterest();
+}
+
+auto TcpStream::fail(bool clean) -> void
+{
+    const auto self = shared_from_this();
+    const auto onClosed = std::move(m_handlers.onClosed);
+    close();
+    if (onClosed)
+        onClosed(clean);
+}
+
+auto TcpStream::handle_input(ACE_HANDLE) -> int
+{
+    const auto self = shared_from_this();
+    std::array<char, kReadBytes> buffer;
+    const auto received = ::recv(m_handle, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (received < 0 && (errno == EINTR || errno == EWOULDBLOCK || errno == EAGAIN))
+        return 0;
+    if (received <= 0) {
+        fail(received == 0);
+        return 0;
+    }
+    if (m_handlers.onData)
+        m_handlers.onData(std::string_view(buffer.data(), static_cast<std::size_t>(received)));
+    return 0;
+}
+
+auto TcpStream::handle_output(ACE_HANDLE) -> int
+{
+    const auto self = shared_from_this();
+    if (!m_connected) {
+        int error = 0;
+        socklen_t size = sizeof(error);
+        ::getsockopt(m_handle, SOL_SOCKET, SO_ERROR, &error, &size);
+        if (error != 0) {
+            fail(false);
+            return 0;
+        }
+        m_connected = true;
+        if (m_handlers.onConnected)
+            m_handlers.onConnected();
+    }
+    flush();
+    updateInterest();
+    return 0;
+}
+
+TcpListener::TcpListener(EventLoop &loop, Duration userTimeout, AcceptHandler onAccept)
+    : m_loop(loop)
+    , m_userTimeout(userTimeout)
+    , m_onAccept(std::move(onAccept))
+{
+    reactor(&loop.reactor());
+}
+
+auto TcpListener::listen(EventLoop &loop, const Endpoint &at, Duration userTimeout,
+                         AcceptHandler onAccept) -> Result<std::unique_ptr<TcpListener>>
+{
+    std::unique_ptr<TcpListener> listener(new TcpListener(loop, userTimeout, std::move(onAccept)));
+    const ACE_INET_Addr address(at.port, at.host.c_str());
+    if (listener->m_acceptor.open(address, 1, PF_INET, kListenBacklog) != 0)
+        return heathergate::fail(Code::BadSetting, "cannot listen on " + at.text());
+    listener->m_acceptor.enable(ACE_NONBLOCK);
+    loop.reactor().register_handler(listener.get(), ACE_Event_Handler::ACCEPT_MASK);
+    return listener;
+}
+
+TcpListener::~TcpListener()
+{
+    close();
+}
+
+auto TcpListener::close() -> void
+{
+    if (m_acceptor.get_handle() == ACE_INVALID_HANDLE)
+        return;
+    m_loop.reactor().remove_handler(this,
+                                    ACE_Event_Handler::ACCEPT_MASK | ACE_Event_Handler::DONT_CALL);
+    m_acceptor.close();
+}
+
+auto TcpListener::handle_input(ACE_HANDLE) -> int
+{
+    while (true) {
+        ACE_SOCK_Stream socket;
+        if (m_acceptor.accept(socket, nullptr, nullptr, true) != 0)
+            return 0;
+        if (socket.get_handle() >= kHandleLimit) {
+            socket.close();
+            continue;
+        }
+        m_onAccept(TcpStream::adopt(m_loop, socket.get_handle(), m_userTimeout));
+    }
+}
+
+} // namespace heathergate::net
--- a/libs/daemon/test/peer_session_test.cpp
+++ b/libs/net/test/peer_session_test.cpp
@@ -1,10 +1,10 @@
 #include <boost/test/unit_test.hpp>
 
-#include <heathergate/daemon/peer_session.h>
+#include <heathergate/net/peer_session.h>
 
 using namespace heathergate;
-using heathergate::daemon::PeerIdentity;
-using heathergate::daemon::PeerSession;
+using heathergate::net::PeerIdentity;
+using heathergate::net::PeerSession;
 
 namespace {
 
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
     g++ cmake ninja-build pkg-config clang-format clang-tidy curl python3
-    libace-dev libflatbuffers-dev libmicrohttpd-dev libcurl4-gnutls-dev
+    libace-dev libflatbuffers-dev libhttp-parser-dev libmicrohttpd-dev libcurl4-gnutls-dev
     libboost-log-dev libboost-program-options-dev libboost-test-dev
     libexpected-dev libtomlplusplus-dev nlohmann-json3-dev libxxhash-dev
     librapidcheck-dev libgnutls28-dev libbenchmark-dev
