--- a/libs/daemon/include/heathergate/daemon/replica_host.h
+++ b/libs/daemon/include/heathergate/daemon/replica_host.h
@@ -3,28 +3,16 @@
 #include <heathergate/consensus/consensus.h>
 #include <heathergate/control/control.h>
 #include <heathergate/programs/programs.h>
+#include <heathergate/storage/storage.h>
 #include <heathergate/wire/wire.h>
 
 #include <deque>
 
 namespace heathergate::daemon {
 
-/// A write of one group, to be made durable by the log thread.
-struct GroupWrite
-{
-    GroupId group = 0;
-    consensus::StorageWrite write;
-};
-
-/// Replaces the stored log: the snapshots first, then the records in place of all others.
-struct Compaction
-{
-    std::vector<std::pair<GroupId, consensus::Snapshot>> snapshots;
-    std::vector<wire::StoredRecord> records;
-};
-
-/// Something for the log thread, in order.
-using StorageStep = std::variant<GroupWrite, Compaction>;
+using storage::Compaction;
+using storage::GroupWrite;
+using storage::StorageStep;
 
 /// An order to an upstream that a leader has to give.
 struct UpstreamOrder
--- a/libs/daemon/src/server.cpp
+++ b/libs/daemon/src/server.cpp
@@ -3,7 +3,6 @@
 #include <heathergate/daemon/ace_clock.h>
 #include <heathergate/daemon/data_folder.h>
 #include <heathergate/daemon/instance.h>
-#include <heathergate/daemon/log_writer.h>
 #include <heathergate/daemon/peer_network.h>
 #include <heathergate/telemetry/logging.h>
 
@@ -176,7 +175,7 @@
         const auto identity = openIdentity(*m_files, m_settings);
         if (!identity)
             return tl::unexpected(identity.error());
-        auto recovered = recoverGroups(*m_files, m_settings.shards);
+        auto recovered = storage::recoverGroups(*m_files, m_settings.shards);
         if (!recovered)
             return tl::unexpected(recovered.error());
         HostSettings settings;
@@ -189,9 +188,9 @@
                   + ".");
         auto host = std::make_unique<ReplicaHost>(std::move(settings), std::move(recovered->second),
                                                   Random(randomNumber()), m_clock.now());
-        m_log = std::make_unique<LogWriter>(
+        m_log = std::make_unique<storage::LogWriter>(
             *m_files, std::move(recovered->first),
-            [this](std::vector<SyncedUpTo> synced) {
+            [this](std::vector<storage::SyncedUpTo> synced) {
                 pushPatiently(m_syncedEvents, std::move(synced));
             },
             [this](const Error &) { m_failed = true; });
@@ -398,11 +397,11 @@
     std::map<GroupId, bool> m_leads;
     Ring<http::ClientEvent> m_upstreamEvents;
     Ring<PeerIn> m_peerEvents;
-    Ring<std::vector<SyncedUpTo>> m_syncedEvents;
+    Ring<std::vector<storage::SyncedUpTo>> m_syncedEvents;
     std::vector<std::unique_ptr<Ring<HttpEvent>>> m_httpEvents;
     std::unique_ptr<Instance> m_instance;
     std::unique_ptr<log::PosixFiles> m_files;
-    std::unique_ptr<LogWriter> m_log;
+    std::unique_ptr<storage::LogWriter> m_log;
     std::unique_ptr<PeerNetwork> m_peers;
     std::unique_ptr<http::Client> m_client;
     std::vector<std::unique_ptr<http::Server>> m_servers;
--- /dev/null
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <heathergate/fleet/fleet_state.h>
+#include <heathergate/fleet/poison_register.h>
+#include <heathergate/routing/health.h>
+#include <heathergate/routing/prefix_index.h>
+
+namespace heathergate::fleet {
+
+/// A request that needs a place at an upstream.
+struct Work
+{
+    RequestId id = 0;
+    InstanceId gateway;
+    CustomerId customer;
+    ServiceId service;
+    /// Where the gateway is.
+    FailureDomainId domain;
+    /// 0 goes first.
+    int rank = 0;
+    /// The caller waits until then.
+    TimePoint deadline{};
+    /// The request has to be sent by then to be of use.
+    TimePoint startBy{};
+    /// When the program of the request should be finished.
+    std::optional<TimePoint> finishBy;
+    routing::PromptPrefixes prompt;
+    int expectedTokens = 0;
+    /// Same for requests with the same caller, path and body.
+    std::uint64_t fingerprint = 0;
+    std::vector<UpstreamId> avoid;
+    /// The upstream at which it should go on, if that still takes requests.
+    std::optional<UpstreamId> stayAt;
+};
+
+/// Gives a request a place.
+struct Placement
+{
+    RequestId request = 0;
+    InstanceId gateway;
+    UpstreamId upstream;
+    Endpoint address;
+    /// Time that the request waited.
+    Duration waited{};
+    /// Requests at the upstream, this one included.
+    std::size_t running = 0;
+};
+
+enum class RejectReason {
+    /// No upstream of the service is known or answers.
+    NoUpstream,
+    /// The queue is too long for the time that the request has.
+    Overload,
+    /// It has broken several upstreams.
+    Poison,
+};
+
+/// Tells that a request gets no place: it has not run.
+struct Rejection
+{
+    RequestId request = 0;
+    InstanceId gateway;
+    RejectReason reason = RejectReason::NoUpstream;
+    Duration retryAfter{};
+    std::size_t queued = 0;
+};
+
+/// How a request's stay at an upstream went.
+struct WorkReport
+{
+    Ending ending = Ending::Answered;
+    Duration total{};
+    /// Until the first byte of the answer; zero if none came.
+    Duration first{};
+};
+
+/// Places the requests of all gateways at the upstreams of all services, with the knowledge of
+/// everything that is running. Answers this load: more requests than slots, of several ranks,
+/// whose prompts share parts with earlier ones, at upstreams that differ in speed, come, leave
+/// and fail.
+class Dispatcher
+{
+public:
+    /// Takes in the upstreams and services as they are now.
+    auto setUpstreams(TimePoint now, const std::map<UpstreamId, UpstreamRecord> &records,
+                      const ActiveConfiguration &configuration) -> void;
+    /// Notes that an upstream is alive, and for how long it is still slow after its start.
+    auto heartbeat(TimePoint now, const UpstreamId &id, Duration coldRemaining) -> void;
+
+    /// Takes in a request; a placement or rejection follows. One that is known already gets its
+    /// placement again.
+    auto submit(TimePoint now, Work work) -> void;
+    /// Notes a request that another leader has placed.
+    auto adopt(TimePoint now, Work work, const UpstreamId &upstream) -> void;
+    /// Ends a request's stay or wait.
+    auto finish(TimePoint now, RequestId request, const WorkReport &report) -> void;
+    /// Forgets all requests of a gateway that is gone.
+    auto dropGateway(TimePoint now, const InstanceId &gateway) -> void;
+    /// Lets time pass: rejects what has waited too long.
+    auto tick(TimePoint now) -> void;
+
+    [[nodiscard]] auto takePlacements() -> std::vector<Placement>
+    {
+        return std::exchange(m_placements, {});
+    }
+    [[nodiscard]] auto takeRejections() -> std::vector<Rejection>
+    {
+        return std::exchange(m_rejections, {});
+    }
+    [[nodiscard]] auto nextDeadline(TimePoint now) const -> TimePoint;
+
+    [[nodiscard]] auto isKnown(RequestId request) const -> bool
+    {
+        return m_work.contains(request);
+    }
+    [[nodiscard]] auto running() const -> std::size_t;
+    [[nodiscard]] auto waiting() const -> std::size_t;
+
+private:
+    struct Upstream
+    {
+        UpstreamRecord record;
+        std::set<RequestId> running;
+        routing::PrefixIndex cache{0};
+        routing::Health health;
+        /// Mean duration of its requests, relative to what was expected.
+        double slowness = 1;
+        TimePoint coldUntil{};
+        /// It declined a request for lack of room.
+        TimePoint fullUntil{};
+        bool isEngine = false;
+        TimePoint lastHeartbeat{};
+        /// When a request found it unreachable or silent.
+        std::optional<TimePoint> lostAt;
+    };
+
+    struct ServiceLoad
+    {
+        std::vector<UpstreamId> upstreams;
+        std::vector<RequestId> queue;
+        /// Smoothed time that a request of this service takes.
+        double meanSeconds = 0.1;
+    };
+
+    struct WorkState
+    {
+        Work work;
+        TimePoint submittedAt{};
+        std::optional<UpstreamId> at;
+        Duration expected{};
+    };
+
+    [[nodiscard]] auto choose(TimePoint now, const Work &work) const -> const Upstream *;
+    [[nodiscard]] auto cost(const Upstream &upstream, const Work &work) const -> double;
+    [[nodiscard]] auto isAvailable(TimePoint now, const Upstream &upstream, const Work &work) const
+        -> bool;
+    [[nodiscard]] static auto isAlive(TimePoint now, const Upstream &upstream) -> bool;
+    [[nodiscard]] auto hasLivingUpstream(TimePoint now, const Work &work) const -> bool;
+    [[nodiscard]] auto expectedWait(const ServiceLoad &service, const Work &work) const -> Duration;
+    auto place(TimePoint now, WorkState &state, const UpstreamId &upstream) -> void;
+    auto reject(TimePoint now, RequestId request, RejectReason reason, Duration retryAfter) -> void;
+    auto fillFreePlaces(TimePoint now, const ServiceId &service) -> void;
+    auto removeFromQueue(RequestId request, const ServiceId &service) -> void;
+    auto learn(TimePoint now, Upstream &upstream, const WorkState &state, const WorkReport &report)
+        -> void;
+
+    std::map<UpstreamId, Upstream> m_upstreams;
+    std::unordered_map<ServiceId, ServiceLoad> m_services;
+    std::unordered_map<RequestId, WorkState> m_work;
+    PoisonRegister m_poison;
+    std::vector<Placement> m_placements;
+    std::vector<Rejection> m_rejections;
+    std::uint64_t m_rejected = 0;
+};
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/include/heathergate/fleet/quota_table.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <heathergate/core/core.h>
+
+#include <unordered_map>
+
+namespace heathergate::fleet {
+
+/// Rate and burst of each customer over the whole fleet, kept by the leader alone.
+///
+/// A new leader does not know what its predecessor has let through. It starts each bucket with
+/// what a leader change may add without breaking the limit, instead of a full burst.
+class QuotaTable
+{
+public:
+    /// Creates the table of a leader that begins at `now`; `overage` is the share by which a limit
+    /// may be passed within `window`, and `slack` a number of requests on top.
+    QuotaTable(TimePoint now, Duration window, double overage, double slack)
+        : m_startedAt(now)
+        , m_window(window)
+        , m_overage(overage)
+        , m_slack(slack)
+    {
+    }
+
+    /// Takes one request of a customer. Returns zero if it may go on, or else the time until the
+    /// next one may. A rate of 0 means no limit.
+    [[nodiscard]] auto take(TimePoint now, const CustomerId &customer, double ratePerSecond,
+                            double burst) -> Duration;
+
+private:
+    struct Bucket
+    {
+        double level = 0;
+        double burst = 0;
+        TimePoint updatedAt{};
+    };
+
+    [[nodiscard]] auto firstLevel(double ratePerSecond, double burst) const -> double;
+
+    TimePoint m_startedAt;
+    Duration m_window;
+    double m_overage;
+    double m_slack;
+    std::unordered_map<CustomerId, Bucket> m_buckets;
+};
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/src/control_admission.cpp
@@ -0,0 +1,222 @@
+#include <heathergate/fleet/control_node.h>
+
+/// Admission of requests: limit, budget and place.
+namespace heathergate::fleet {
+
+namespace {
+
+using telemetry::LogImportance;
+
+auto codeOf(RejectReason reason) -> Code
+{
+    switch (reason) {
+    case RejectReason::NoUpstream:
+        return Code::NoUpstream;
+    case RejectReason::Overload:
+        return Code::QueueFull;
+    case RejectReason::Poison:
+        return Code::PoisonRequest;
+    }
+    return Code::NoUpstream;
+}
+
+/// Returns the prompt's parts as prefixes, each of which stands for all parts up to it.
+auto prefixesOf(const fb::AdmissionT &message) -> routing::PromptPrefixes
+{
+    routing::PromptPrefixes prompt;
+    std::uint64_t chain = 0;
+    std::int64_t tokens = 0;
+    for (const auto &part : message.prompt) {
+        const auto id = part->id;
+        chain = hash64({reinterpret_cast<const char *>(&id), sizeof(id)}, chain + 1);
+        tokens += part->tokens;
+        prompt.prefixes.push_back({chain, tokens});
+    }
+    return prompt;
+}
+
+} // namespace
+
+auto ControlNode::workOf(TimePoint now, const InstanceId &from, const fb::AdmissionT &message) const
+    -> Work
+{
+    Work work;
+    work.id = message.request;
+    work.gateway = from;
+    work.customer = CustomerId(message.customer);
+    work.service = ServiceId(message.service);
+    work.domain = FailureDomainId(message.domain);
+    work.rank = message.rank;
+    work.deadline = now + Duration(message.timeLeft);
+    work.startBy = now + Duration(std::min(message.timeLeft, message.patience));
+    if (message.finishIn >= 0)
+        work.finishBy = now + Duration(message.finishIn);
+    work.prompt = prefixesOf(message);
+    work.expectedTokens = message.expectedTokens;
+    work.fingerprint = message.fingerprint;
+    for (const auto &upstream : message.avoid)
+        work.avoid.emplace_back(upstream);
+    if (!message.stayAt.empty())
+        work.stayAt = UpstreamId(message.stayAt);
+    return work;
+}
+
+auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::AdmissionT &message) -> void
+{
+    if (!isLeader(now))
+        return redirect(from);
+    auto &state = m_admissions[message.request];
+    const auto isNew = state.gateway.empty();
+    if (isNew) {
+        state.gateway = from;
+        state.program = message.program;
+        state.hasBudget = message.budget >= 0;
+        state.admittedAt = now;
+    }
+    if (!message.runningAt.empty()) {
+        state.reserved = true;
+        state.ranBefore = true;
+        m_dispatcher.adopt(now, workOf(now, from, message), UpstreamId(message.runningAt));
+        return;
+    }
+    if (isNew && !message.again && m_quotas) {
+        const auto *customer = m_state.configuration().customer(CustomerId(message.customer));
+        const auto wait =
+            customer == nullptr
+                ? Duration::zero()
+                : m_quotas->take(now, customer->id, customer->ratePerSecond, customer->burst);
+        if (wait > Duration::zero()) {
+            m_metrics.count("heathergate_quota_refusals_total", {{"customer", message.customer}});
+            refuse(now, from, message.request, Code::RateExceeded, wait);
+            m_admissions.erase(message.request);
+            return;
+        }
+    }
+    if (message.again) {
+        state.ranBefore = true;
+        state.reserved = true;
+        state.placement.reset();
+    }
+    if (state.hasBudget && !state.reserved)
+        reserveBudget(message);
+    m_dispatcher.submit(now, workOf(now, from, message));
+}
+
+auto ControlNode::handle(TimePoint, const InstanceId &, fb::GrantT &) -> void {}
+
+auto ControlNode::handle(TimePoint, const InstanceId &, fb::RefusalT &) -> void {}
+
+auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::CompletionT &message) -> void
+{
+    if (!isLeader(now))
+        return redirect(from);
+    WorkReport report;
+    report.ending = static_cast<Ending>(message.ending);
+    report.total = Duration(message.duration);
+    report.first = Duration(message.first);
+    m_dispatcher.finish(now, message.request, report);
+    if (!message.final)
+        return;
+    // Also for an admission of an earlier leader.
+    if (!message.program.empty())
+        settleBudget(message.program, message.request, message.tokens);
+    m_admissions.erase(message.request);
+}
+
+auto ControlNode::reserveBudget(const fb::AdmissionT &message) -> void
+{
+    auto command = std::make_unique<fb::CommandT>();
+    command->reserve = std::make_unique<fb::ReserveT>();
+    command->reserve->program = message.program;
+    command->reserve->request = message.request;
+    command->reserve->budget = message.budget;
+    command->reserve->most = message.mostTokens;
+    propose(std::move(command), true);
+}
+
+auto ControlNode::settleBudget(const ProgramKey &program, RequestId request, std::int64_t used)
+    -> void
+{
+    auto command = std::make_unique<fb::CommandT>();
+    command->settle = std::make_unique<fb::SettleT>();
+    command->settle->program = program;
+    command->settle->request = request;
+    command->settle->used = used;
+    propose(std::move(command), false);
+}
+
+auto ControlNode::reserved(TimePoint now, const ReserveOutcome &outcome) -> void
+{
+    const auto found = m_admissions.find(outcome.request);
+    if (found == m_admissions.end())
+        return;
+    auto &state = found->second;
+    if (outcome.granted) {
+        state.reserved = true;
+        grantIfReady(now, outcome.request, state);
+        return;
+    }
+    m_metrics.count("heathergate_budget_refusals_total", {});
+    refuse(now, state.gateway, outcome.request, Code::BudgetExhausted, Duration::zero());
+    m_dispatcher.finish(now, outcome.request, {Ending::Cancelled, {}, {}});
+    m_admissions.erase(found);
+}
+
+auto ControlNode::grantIfReady(TimePoint now, RequestId request, AdmissionState &state) -> void
+{
+    if (!state.placement || (state.hasBudget && !state.reserved))
+        return;
+    const auto &placement = *state.placement;
+    fb::GrantT grant;
+    grant.request = request;
+    grant.upstream = placement.upstream.value;
+    grant.address = placement.address.text();
+    m_metrics.observe("heathergate_admission_seconds", {}, now - state.admittedAt);
+    m_output.messages.push_back({state.gateway, PeerFrame(Message(std::move(grant)))});
+}
+
+auto ControlNode::refuse(TimePoint now, const InstanceId &gateway, RequestId request, Code code,
+                         Duration retryAfter) -> void
+{
+    m_log.add(now, LogImportance::Important, "admission", "refused",
+              {{"admission", request},
+               {"gateway", gateway.value},
+               {"code", static_cast<int>(code)},
+               {"retry_after_ms", retryAfter},
+               {"queued", m_dispatcher.waiting()},
+               {"running", m_dispatcher.running()},
+               {"version", m_state.configuration().version()},
+               {"term", m_replica.term()}});
+    fb::RefusalT refusal;
+    refusal.request = request;
+    refusal.code = static_cast<int>(code);
+    refusal.retryAfter = retryAfter.count();
+    m_output.messages.push_back({gateway, PeerFrame(Message(std::move(refusal)))});
+}
+
+auto ControlNode::takeDispatcherOutput(TimePoint now) -> void
+{
+    for (auto &placement : m_dispatcher.takePlacements()) {
+        const auto found = m_admissions.find(placement.request);
+        if (found == m_admissions.end())
+            continue;
+        found->second.placement = std::move(placement);
+        grantIfReady(now, found->first, found->second);
+    }
+    for (const auto &rejection : m_dispatcher.takeRejections()) {
+        const auto found = m_admissions.find(rejection.request);
+        refuse(now, rejection.gateway, rejection.request, codeOf(rejection.reason),
+               rejection.retryAfter);
+        if (found == m_admissions.end())
+            continue;
+        // A reservation that is still on its way to the log is settled right behind it. A request
+        // that has been at an upstream may have given out tokens; its gateway settles it.
+        if (found->second.ranBefore)
+            continue;
+        if (found->second.hasBudget)
+            settleBudget(found->second.program, rejection.request, 0);
+        m_admissions.erase(found);
+    }
+}
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/src/control_calls.cpp
@@ -0,0 +1,246 @@
+#include <heathergate/fleet/control_node.h>
+
+/// Calls of operators and upstreams.
+namespace heathergate::fleet {
+
+namespace {
+
+using telemetry::LogImportance;
+
+/// Time after which a new leader has heard from every instance that is there.
+constexpr Duration kMembersKnownAfter = std::chrono::milliseconds(1500);
+
+auto sameUpstream(const UpstreamRecord &left, const UpstreamRecord &right) -> bool
+{
+    return left.service == right.service && left.address == right.address
+           && left.domain == right.domain && left.slots == right.slots && left.phase == right.phase
+           && left.born == right.born;
+}
+
+} // namespace
+
+auto ControlNode::answerElsewhere(CallToken token) -> void
+{
+    CallAnswer answer;
+    answer.token = token;
+    answer.status = CallStatus::Unavailable;
+    if (const auto leader = leaderInstance(); leader && *leader != m_settings.self) {
+        answer.status = CallStatus::Elsewhere;
+        answer.leaderAddress = leader->value;
+    }
+    m_output.answers.push_back(std::move(answer));
+}
+
+auto ControlNode::commitAnswer(CallToken token) -> CommitHandler
+{
+    return [this, token](TimePoint, bool committed) {
+        CallAnswer answer;
+        answer.token = token;
+        answer.status = committed ? CallStatus::Done : CallStatus::Unavailable;
+        m_output.answers.push_back(std::move(answer));
+    };
+}
+
+auto ControlNode::putConfiguration(TimePoint now, CallToken token,
+                                   const Configuration &configuration, std::string document) -> void
+{
+    if (!isLeader(now))
+        return answerElsewhere(token);
+    const auto current = m_state.configuration().version();
+    m_log.add(now, LogImportance::Important, "operator", "configuration_received",
+              {{"version", configuration.version},
+               {"in_force", current},
+               {"bytes", document.size()},
+               {"term", m_replica.term()}});
+    if (configuration.version <= current) {
+        CallAnswer answer;
+        answer.token = token;
+        m_output.answers.push_back(std::move(answer));
+        return;
+    }
+    auto command = std::make_unique<fb::CommandT>();
+    command->configuration = std::make_unique<fb::SetConfigurationT>();
+    command->configuration->version = configuration.version;
+    command->configuration->content = toBytes(encode(configuration));
+    command->configuration->document = toBytes(document);
+    propose(std::move(command), true, commitAnswer(token));
+}
+
+auto ControlNode::readConfiguration(TimePoint now, CallToken token) -> void
+{
+    if (!isLeader(now))
+        return answerElsewhere(token);
+    CallAnswer answer;
+    answer.token = token;
+    if (m_state.configuration().version() == 0)
+        answer.status = CallStatus::Unavailable;
+    else
+        answer.document = m_state.configurationDocument();
+    m_output.answers.push_back(std::move(answer));
+}
+
+auto ControlNode::memberNamed(const std::string &name) const -> std::optional<InstanceId>
+{
+    for (const auto &[id, member] : m_members) {
+        if (member.presence.name == name)
+            return id;
+    }
+    return std::nullopt;
+}
+
+/// Whether enough instances remain for the group without this one.
+auto ControlNode::mayRetire(TimePoint now, const InstanceId &instance) const -> bool
+{
+    const auto member = m_members.find(instance);
+    if (member == m_members.end()
+        || member->second.presence.role != static_cast<std::uint8_t>(Role::Control))
+        return true;
+    const auto wanted = 2 * m_settings.faultTolerance + 1;
+    const auto others = std::count_if(m_members.begin(), m_members.end(), [&](const auto &item) {
+        const consensus::ReplicaId replica(item.second.presence.replica);
+        return item.first != instance && !replica.empty() && isServing(now, replica)
+               && !m_state.retiring().contains(item.first);
+    });
+    return others >= wanted;
+}
+
+auto ControlNode::startRetiring(TimePoint now, CallToken token, const std::string &name) -> void
+{
+    if (!isLeader(now))
+        return answerElsewhere(token);
+    CallAnswer answer;
+    answer.token = token;
+    const auto instance = memberNamed(name);
+    if (!instance) {
+        answer.status = now - m_leaderSince < kMembersKnownAfter ? CallStatus::Unavailable
+                                                                 : CallStatus::NotFound;
+        m_output.answers.push_back(std::move(answer));
+        return;
+    }
+    if (m_state.retiring().contains(*instance)) {
+        m_output.answers.push_back(std::move(answer));
+        return;
+    }
+    if (!mayRetire(now, *instance)) {
+        answer.status = CallStatus::Conflict;
+        answer.detail = "too few instances would remain";
+        m_output.answers.push_back(std::move(answer));
+        return;
+    }
+    m_log.add(now, LogImportance::Important, "operator", "retiring",
+              {{"instance", instance->value}, {"name", name}});
+    auto command = std::make_unique<fb::CommandT>();
+    command->retiring = std::make_unique<fb::SetRetiringT>();
+    command->retiring->instance = instance->value;
+    command->retiring->retiring = true;
+    propose(std::move(command), true, commitAnswer(token));
+}
+
+auto ControlNode::readRetiring(TimePoint now, CallToken token, const std::string &name) -> void
+{
+    if (!isLeader(now))
+        return answerElsewhere(token);
+    CallAnswer answer;
+    answer.token = token;
+    const auto instance = memberNamed(name);
+    if (!instance || !m_state.retiring().contains(*instance)) {
+        answer.status = now - m_leaderSince < kMembersKnownAfter ? CallStatus::Unavailable
+                                                                 : CallStatus::NotFound;
+        m_output.answers.push_back(std::move(answer));
+        return;
+    }
+    const auto &group = m_replica.configuration();
+    const auto isOn = [&](const auto &replica) { return instanceOf(replica) == *instance; };
+    const auto holds = std::any_of(group.voters.begin(), group.voters.end(), isOn)
+                       || std::any_of(group.learners.begin(), group.learners.end(), isOn);
+    answer.retire = holds ? RetireState::Running : RetireState::Succeeded;
+    m_output.answers.push_back(std::move(answer));
+}
+
+auto ControlNode::setUpstream(TimePoint now, const UpstreamRecord &record, std::string_view why,
+                              CommitHandler handler) -> void
+{
+    m_log.add(now, LogImportance::Important, "upstreams", why,
+              {{"upstream", record.id.value},
+               {"service", record.service.value},
+               {"address", record.address.text()},
+               {"phase", static_cast<int>(record.phase)},
+               {"born", record.born.count()},
+               {"sequence", record.sequence}});
+    auto command = std::make_unique<fb::CommandT>();
+    command->upstream = std::make_unique<fb::SetUpstreamT>();
+    command->upstream->upstream = std::make_unique<fb::UpstreamT>(toTable(record));
+    propose(std::move(command), true, std::move(handler));
+}
+
+auto ControlNode::upstreamHeartbeat(TimePoint now, CallToken token, const UpstreamReport &report)
+    -> void
+{
+    if (!isLeader(now))
+        return answerElsewhere(token);
+    const auto &record = report.record;
+    CallAnswer done;
+    done.token = token;
+    const auto known = m_state.upstreams().find(record.id);
+    const auto isKnown = known != m_state.upstreams().end();
+    // Of a late heartbeat, nothing is of use any more: of a former incarnation, from before a
+    // later heartbeat, or from before the upstream left.
+    auto isLate = isKnown
+                  && (record.born < known->second.born
+                      || (record.born == known->second.born
+                          && (known->second.phase == UpstreamPhase::Gone
+                              || record.sequence <= known->second.sequence)));
+    auto &last = m_lastSequence[record.id];
+    if (isKnown && record.born == known->second.born && record.sequence <= last)
+        isLate = true;
+    std::vector<UpstreamRecord> replaced;
+    for (const auto &[id, other] : m_state.upstreams()) {
+        if (id == record.id || other.address != record.address
+            || other.phase == UpstreamPhase::Gone)
+            continue;
+        if (other.born > record.born)
+            isLate = true; // A later upstream has the address by now.
+        else
+            replaced.push_back(other);
+    }
+    if (isLate) {
+        m_output.answers.push_back(std::move(done));
+        return;
+    }
+    last = record.sequence;
+    for (auto &other : replaced) {
+        other.phase = UpstreamPhase::Gone;
+        setUpstream(now, other, "replaced", {});
+    }
+    if (isKnown && sameUpstream(known->second, record) && replaced.empty()) {
+        m_dispatcher.heartbeat(now, record.id, report.coldRemaining);
+        m_output.answers.push_back(std::move(done));
+        return;
+    }
+    const auto isDraining = record.phase == UpstreamPhase::Draining;
+    setUpstream(
+        now, record, isDraining ? "draining" : "registered",
+        [this, token, id = record.id, cold = report.coldRemaining](TimePoint at, bool committed) {
+            if (committed)
+                m_dispatcher.heartbeat(at, id, cold);
+            commitAnswer(token)(at, committed);
+        });
+}
+
+auto ControlNode::upstreamLeft(TimePoint now, CallToken token, const UpstreamId &id) -> void
+{
+    if (!isLeader(now))
+        return answerElsewhere(token);
+    const auto known = m_state.upstreams().find(id);
+    if (known == m_state.upstreams().end() || known->second.phase == UpstreamPhase::Gone) {
+        CallAnswer done;
+        done.token = token;
+        m_output.answers.push_back(std::move(done));
+        return;
+    }
+    auto record = known->second;
+    record.phase = UpstreamPhase::Gone;
+    setUpstream(now, record, "left", commitAnswer(token));
+}
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/src/control_members.cpp
@@ -0,0 +1,307 @@
+#include <heathergate/fleet/control_node.h>
+
+/// Who belongs to the fleet: presence of instances, feeds, and the members of the group.
+namespace heathergate::fleet {
+
+namespace {
+
+using telemetry::LogImportance;
+
+constexpr Duration kPresenceInterval = std::chrono::milliseconds(400);
+/// Silence after which a leader is no longer believed to be there.
+constexpr Duration kLeaderSilence = std::chrono::milliseconds(1000);
+/// Silence after which callers are no longer sent to a gateway.
+constexpr Duration kGatewaySilence = std::chrono::milliseconds(1300);
+/// Silence after which an instance and all that runs for it is forgotten.
+constexpr Duration kMemberSilence = std::chrono::milliseconds(2500);
+/// Absence after which a voter may be replaced by another instance.
+constexpr Duration kVoterAbsence = std::chrono::milliseconds(2500);
+
+auto isRole(const fb::PresenceT &presence, Role role) -> bool
+{
+    return presence.role == static_cast<std::uint8_t>(role);
+}
+
+} // namespace
+
+auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::PresenceT &message) -> void
+{
+    if (isRole(message, Role::Control))
+        m_controls.insert(from);
+    if (!isLeader(now))
+        return redirect(from);
+    auto &member = m_members[from];
+    const auto isNew = member.presence.boot != message.boot;
+    const auto turned =
+        member.presence.ready != message.ready || member.presence.leaving != message.leaving;
+    if (isNew && member.presence.boot != 0)
+        m_dispatcher.dropGateway(now, from);
+    if (isNew || turned)
+        m_log.add(now, LogImportance::Important, "members", isNew ? "joined" : "changed",
+                  {{"instance", from.value},
+                   {"role", static_cast<int>(message.role)},
+                   {"ready", message.ready ? 1 : 0},
+                   {"leaving", message.leaving ? 1 : 0},
+                   {"replica", message.replica}});
+    member.presence = std::move(message);
+    member.seenAt = now;
+    sendFeed(now, from);
+    if (turned || isNew)
+        pushFeeds(now, false);
+}
+
+auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::FeedT &message) -> void
+{
+    m_presumedLeader = from;
+    m_lastFeedAt = now;
+    m_knownGateways.clear();
+    for (auto &gateway : message.gateways)
+        m_knownGateways.push_back(std::move(*gateway));
+    learnControls(instanceIds(message.controls));
+}
+
+auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::RedirectT &message) -> void
+{
+    learnControls(instanceIds(message.controls));
+    if (m_presumedLeader != from)
+        return;
+    m_presumedLeader.reset();
+    if (!message.leader.empty() && message.leader != m_settings.self.value)
+        m_presumedLeader = InstanceId(message.leader);
+    constexpr Duration kRedirectPause = std::chrono::milliseconds(60);
+    m_nextPresence = std::min(m_nextPresence, now + kRedirectPause);
+}
+
+auto ControlNode::sendPresence(TimePoint now) -> void
+{
+    m_nextPresence = now + kPresenceInterval;
+    fb::PresenceT presence;
+    presence.boot = m_settings.boot;
+    presence.role = static_cast<std::uint8_t>(Role::Control);
+    presence.name = m_settings.name;
+    presence.domain = m_settings.domain.value;
+    presence.address = m_settings.controlAddress;
+    presence.ready = !m_leaving;
+    presence.leaving = m_leaving;
+    presence.replica = m_settings.replica.value;
+    presence.configurationVersion = m_state.configuration().version();
+    if (isLeader(now)) {
+        auto &own = m_members[m_settings.self];
+        own.presence = std::move(presence);
+        own.seenAt = now;
+        return;
+    }
+    if (const auto leader = leaderInstance(); leader && *leader != m_settings.self)
+        m_presumedLeader = leader;
+    else if (now - m_lastFeedAt > kLeaderSilence)
+        m_presumedLeader.reset();
+    if (!m_presumedLeader && !m_controls.empty()) {
+        auto next = m_controls.begin();
+        std::advance(next, static_cast<std::ptrdiff_t>(m_nextControl++ % m_controls.size()));
+        m_presumedLeader = *next;
+    }
+    if (m_presumedLeader)
+        m_output.messages.push_back({*m_presumedLeader, PeerFrame(Message(std::move(presence)))});
+}
+
+auto ControlNode::sendFeed(TimePoint now, const InstanceId &to) -> void
+{
+    const auto member = m_members.find(to);
+    if (member == m_members.end() || to == m_settings.self)
+        return;
+    const auto &presence = member->second.presence;
+    fb::FeedT feed;
+    feed.term = m_replica.term();
+    feed.configurationVersion = m_state.configuration().version();
+    if (isRole(presence, Role::Gateway)
+        && presence.configurationVersion < m_state.configuration().version()) {
+        feed.configuration = toBytes(m_state.configurationContent());
+        // Sent once a version; a gateway that misses it asks again with its next presence.
+        member->second.presence.configurationVersion = m_state.configuration().version();
+    }
+    if (isRole(presence, Role::Control)) {
+        for (auto &gateway : gatewayList(now))
+            feed.gateways.push_back(std::make_unique<fb::GatewayAddressT>(std::move(gateway)));
+    }
+    feed.controls = controlList();
+    m_output.messages.push_back({to, PeerFrame(Message(std::move(feed)))});
+}
+
+auto ControlNode::pushFeeds(TimePoint now, bool gateways) -> void
+{
+    if (!isLeader(now))
+        return;
+    for (const auto &[id, member] : m_members) {
+        if (isRole(member.presence, gateways ? Role::Gateway : Role::Control))
+            sendFeed(now, id);
+    }
+}
+
+auto ControlNode::redirect(const InstanceId &to) -> void
+{
+    fb::RedirectT message;
+    if (const auto leader = leaderInstance(); leader && *leader != m_settings.self)
+        message.leader = leader->value;
+    message.controls = controlList();
+    m_output.messages.push_back({to, PeerFrame(Message(std::move(message)))});
+}
+
+auto ControlNode::leaderInstance() const -> std::optional<InstanceId>
+{
+    const auto &leader = m_replica.leader();
+    return leader ? std::optional(instanceOf(*leader)) : std::nullopt;
+}
+
+auto ControlNode::controlList() const -> std::vector<std::string>
+{
+    std::set<std::string> names{m_settings.self.value};
+    for (const auto &voter : m_replica.configuration().voters)
+        names.insert(instanceOf(voter).value);
+    for (const auto &[id, member] : m_members) {
+        if (isRole(member.presence, Role::Control))
+            names.insert(id.value);
+    }
+    return {names.begin(), names.end()};
+}
+
+auto ControlNode::learnControls(const std::vector<InstanceId> &controls) -> void
+{
+    m_controls.insert(controls.begin(), controls.end());
+    m_controls.erase(m_settings.self);
+}
+
+auto ControlNode::gatewayList(TimePoint now) const -> std::vector<fb::GatewayAddressT>
+{
+    std::vector<fb::GatewayAddressT> gateways;
+    for (const auto &[id, member] : m_members) {
+        const auto &presence = member.presence;
+        if (!isRole(presence, Role::Gateway) || !presence.ready || presence.leaving
+            || now - member.seenAt > kGatewaySilence)
+            continue;
+        fb::GatewayAddressT gateway;
+        gateway.address = presence.address;
+        gateway.domain = presence.domain;
+        gateways.push_back(std::move(gateway));
+    }
+    return gateways;
+}
+
+auto ControlNode::directory(TimePoint now) const -> std::vector<fb::GatewayAddressT>
+{
+    return isLeader(now) ? gatewayList(now) : m_knownGateways;
+}
+
+auto ControlNode::expireMembers(TimePoint now) -> void
+{
+    std::vector<InstanceId> lost;
+    for (const auto &[id, member] : m_members) {
+        if (id != m_settings.self && now - member.seenAt > kMemberSilence)
+            lost.push_back(id);
+    }
+    for (const auto &id : lost) {
+        m_log.add(now, LogImportance::Important, "members", "lost",
+                  {{"instance", id.value}, {"silent_ms", now - m_members[id].seenAt}});
+        if (isRole(m_members[id].presence, Role::Gateway)) {
+            m_dispatcher.dropGateway(now, id);
+            std::erase_if(m_admissions,
+                          [&](const auto &item) { return item.second.gateway == id; });
+        }
+        m_members.erase(id);
+    }
+}
+
+auto ControlNode::isServing(TimePoint now, const consensus::ReplicaId &replica) const -> bool
+{
+    if (replica == m_settings.replica)
+        return !m_leaving;
+    const auto member = m_members.find(instanceOf(replica));
+    return member != m_members.end() && member->second.presence.replica == replica.value
+           && !member->second.presence.leaving && now - member->second.seenAt < kMemberSilence;
+}
+
+/// Whether the replica's instance runs with another disk by now.
+auto ControlNode::isSuperseded(const consensus::ReplicaId &replica) const -> bool
+{
+    const auto member = m_members.find(instanceOf(replica));
+    return member != m_members.end() && !member->second.presence.replica.empty()
+           && member->second.presence.replica != replica.value;
+}
+
+auto ControlNode::shouldLeave(TimePoint now, const consensus::ReplicaId &replica) const -> bool
+{
+    if (m_state.retiring().contains(instanceOf(replica)) || isSuperseded(replica))
+        return true;
+    const auto absent = m_absentSince.find(replica);
+    return absent != m_absentSince.end() && now - absent->second > kVoterAbsence;
+}
+
+auto ControlNode::candidate(TimePoint now) const -> std::optional<consensus::ReplicaId>
+{
+    const auto &group = m_replica.configuration();
+    for (const auto &[id, member] : m_members) {
+        const consensus::ReplicaId replica(member.presence.replica);
+        if (replica.empty() || group.isVoter(replica) || group.isLearner(replica)
+            || m_state.retiring().contains(id) || !isServing(now, replica))
+            continue;
+        return replica;
+    }
+    return std::nullopt;
+}
+
+auto ControlNode::noteGroupChange(TimePoint now, std::string_view event,
+                                  const consensus::ReplicaId &replica,
+                                  const Result<consensus::Index> &done) -> bool
+{
+    if (done)
+        m_log.add(now, LogImportance::Important, "group", event,
+                  {{"replica", replica.value},
+                   {"term", m_replica.term()},
+                   {"voters", m_replica.configuration().voters.size()}});
+    return done.has_value();
+}
+
+/// Makes one change of members at most. A voter is replaced only by one that has caught up, and
+/// leaves only once the others decide without it.
+auto ControlNode::maintainGroup(TimePoint now) -> void
+{
+    const auto group = m_replica.configuration();
+    for (const auto &voter : group.voters) {
+        if (isServing(now, voter))
+            m_absentSince.erase(voter);
+        else
+            m_absentSince.try_emplace(voter, now);
+    }
+    for (const auto &learner : group.learners) {
+        if (isServing(now, learner)) {
+            noteGroupChange(now, "promoted", learner, m_replica.promote(now, learner));
+            return;
+        }
+        if (isSuperseded(learner) || !m_members.contains(instanceOf(learner))) {
+            noteGroupChange(now, "learner_removed", learner, m_replica.removeMember(now, learner));
+            return;
+        }
+    }
+    const auto wanted = static_cast<std::size_t>(2 * m_settings.faultTolerance + 1);
+    const auto leaving = std::find_if(group.voters.begin(), group.voters.end(),
+                                      [&](const auto &voter) { return shouldLeave(now, voter); });
+    const auto serving = static_cast<std::size_t>(
+        std::count_if(group.voters.begin(), group.voters.end(), [&](const auto &voter) {
+            return isServing(now, voter) && !shouldLeave(now, voter);
+        }));
+    if (group.voters.size() > wanted && leaving != group.voters.end()
+        && serving > (group.voters.size() - 1) / 2) {
+        if (instanceOf(*leaving) == m_settings.self)
+            m_replica.transferLeadership(now);
+        else
+            noteGroupChange(now, "removed", *leaving, m_replica.removeMember(now, *leaving));
+        return;
+    }
+    if (group.voters.size() >= wanted && leaving == group.voters.end())
+        return;
+    if (group.voters.size() > wanted)
+        return;
+    if (const auto next = candidate(now))
+        noteGroupChange(now, "learner_added", *next, m_replica.addLearner(now, *next));
+}
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/src/control_node.cpp
@@ -0,0 +1,241 @@
+#include <heathergate/fleet/control_node.h>
+
+namespace heathergate::fleet {
+
+namespace {
+
+/// A settlement may wait this long for company, so that it shares a sync with other commands.
+constexpr Duration kSettleDelay = std::chrono::milliseconds(150);
+constexpr Duration kMaintenanceInterval = std::chrono::milliseconds(500);
+
+} // namespace
+
+auto instanceOf(const consensus::ReplicaId &replica) -> InstanceId
+{
+    return InstanceId(replica.value.substr(0, replica.value.find('~')));
+}
+
+ControlNode::ControlNode(ControlSettings settings, consensus::RecoveredState recovered,
+                         Random random, telemetry::EventLog &log, TimePoint now)
+    : m_settings(std::move(settings))
+    , m_log(log)
+    , m_replica(m_settings.replica, m_settings.consensus, m_settings.genesis, std::move(recovered),
+                random, now)
+{
+    learnControls(m_settings.seeds);
+    collect(now);
+}
+
+auto ControlNode::receive(TimePoint now, const InstanceId &from, PeerFrame frame) -> void
+{
+    if (const auto *envelope = std::get_if<consensus::Envelope>(&frame)) {
+        // A replica speaks only for itself, whatever a message claims.
+        if (instanceOf(envelope->from) == from && envelope->to == m_settings.replica)
+            m_replica.receive(now, *envelope);
+        return;
+    }
+    std::visit([&](auto &message) { handle(now, from, message); }, std::get<Message>(frame));
+}
+
+auto ControlNode::synced(TimePoint now, std::uint64_t number) -> void
+{
+    m_replica.synced(now, number);
+}
+
+auto ControlNode::tick(TimePoint now) -> void
+{
+    if (now >= m_replica.nextDeadline())
+        m_replica.tick(now);
+    if (now >= m_nextPresence)
+        sendPresence(now);
+    if (!isLeader(now))
+        return;
+    m_dispatcher.tick(now);
+    if (now < m_nextMaintenance)
+        return;
+    m_nextMaintenance = now + kMaintenanceInterval;
+    expireMembers(now);
+    maintainGroup(now);
+}
+
+auto ControlNode::leave(TimePoint now) -> void
+{
+    m_leaving = true;
+    m_replica.transferLeadership(now);
+    sendPresence(now);
+}
+
+auto ControlNode::takeOutput(TimePoint now) -> ControlOutput
+{
+    collect(now);
+    if (isLeader(now))
+        takeDispatcherOutput(now);
+    flushProposals(now);
+    collect(now);
+    compactIfNeeded();
+    return std::exchange(m_output, {});
+}
+
+auto ControlNode::nextDeadline(TimePoint now) const -> TimePoint
+{
+    auto next = std::min(m_replica.nextDeadline(), m_nextPresence);
+    if (m_wasServing) {
+        next = std::min(next, m_nextMaintenance);
+        next = std::min(next, m_dispatcher.nextDeadline(now));
+    }
+    if (m_oldestCommand && m_inFlight.empty())
+        next = std::min(next, *m_oldestCommand + kSettleDelay);
+    return next;
+}
+
+auto ControlNode::propose(CommandPtr command, bool urgent, CommitHandler handler) -> void
+{
+    m_commands.push_back(std::move(command));
+    m_urgent = m_urgent || urgent;
+    if (handler)
+        m_commandHandlers.push_back(std::move(handler));
+}
+
+auto ControlNode::flushProposals(TimePoint now) -> void
+{
+    if (m_commands.empty())
+        return;
+    if (!m_oldestCommand)
+        m_oldestCommand = now;
+    // One batch is under way at a time, so that commands gather while a sync runs.
+    if (!m_inFlight.empty() && m_replica.role() == consensus::Role::Leader)
+        return;
+    if (!m_urgent && now - *m_oldestCommand < kSettleDelay)
+        return;
+    fb::CommandBatchT batch;
+    batch.commands = std::exchange(m_commands, {});
+    auto handlers = std::exchange(m_commandHandlers, {});
+    m_oldestCommand.reset();
+    m_urgent = false;
+    const auto index = m_replica.propose(now, pack(batch));
+    if (!index) {
+        for (const auto &handler : handlers)
+            handler(now, false);
+        return;
+    }
+    m_inFlight[*index] = Batch{m_replica.term(), std::move(handlers)};
+}
+
+auto ControlNode::collect(TimePoint now) -> void
+{
+    auto effects = m_replica.takeEffects(now);
+    for (auto &write : effects.writes)
+        m_output.storage.emplace_back(storage::GroupWrite{kControlGroup, std::move(write)});
+    for (auto &envelope : effects.messages) {
+        const auto to = instanceOf(envelope.to);
+        m_output.messages.push_back({to, PeerFrame(std::move(envelope))});
+    }
+    if (effects.installed) {
+        if (const auto restored = m_state.restore(*effects.installed->state); !restored)
+            m_log.add(now, telemetry::LogImportance::Important, "state", "snapshot_unreadable",
+                      {{"detail", restored.error().detail}});
+        m_applied = effects.installed->meta.index;
+        m_snapshotAt = m_applied;
+    }
+    for (const auto &entry : effects.committed)
+        applyEntry(now, entry);
+    const auto leads = m_replica.role() == consensus::Role::Leader;
+    if (leads != std::exchange(m_wasLeader, leads))
+        leadershipChanged(now);
+    const auto serves = isLeader(now);
+    if (serves && !std::exchange(m_wasServing, serves)) {
+        m_log.add(now, telemetry::LogImportance::Important, "control", "serving",
+                  {{"term", m_replica.term()}, {"version", m_state.configuration().version()}});
+        m_nextPresence = now;
+        m_nextMaintenance = now + kMaintenanceInterval;
+    }
+    m_wasServing = serves;
+    refreshUpstreams(now);
+}
+
+auto ControlNode::refreshUpstreams(TimePoint now) -> void
+{
+    if (std::exchange(m_seenUpstreamChanges, m_state.upstreamChanges())
+        != m_state.upstreamChanges())
+        m_dispatcher.setUpstreams(now, m_state.upstreams(), m_state.configuration());
+}
+
+auto ControlNode::applyEntry(TimePoint now, const consensus::Entry &entry) -> void
+{
+    m_applied = entry.index;
+    const auto version = m_state.configuration().version();
+    std::vector<ReserveOutcome> outcomes;
+    if (entry.kind == consensus::EntryKind::Command) {
+        const auto batch = unpack<fb::CommandBatchT>(entry.payload);
+        if (batch)
+            outcomes = m_state.apply(entry.time, *batch);
+        else
+            m_log.add(now, telemetry::LogImportance::Important, "state", "entry_unreadable",
+                      {{"index", entry.index}, {"detail", batch.error().detail}});
+    }
+    if (m_state.configuration().version() != version) {
+        m_log.add(now, telemetry::LogImportance::Important, "state", "configuration_in_force",
+                  {{"version", m_state.configuration().version()}, {"before", version}});
+        m_dispatcher.setUpstreams(now, m_state.upstreams(), m_state.configuration());
+        pushFeeds(now, true);
+    }
+    refreshUpstreams(now);
+    const auto batch = m_inFlight.find(entry.index);
+    if (batch == m_inFlight.end())
+        return;
+    const auto own = batch->second.term == entry.term;
+    const auto handlers = std::move(batch->second.handlers);
+    m_inFlight.erase(batch);
+    if (own) {
+        for (const auto &outcome : outcomes)
+            reserved(now, outcome);
+    }
+    for (const auto &handler : handlers)
+        handler(now, own);
+}
+
+auto ControlNode::leadershipChanged(TimePoint now) -> void
+{
+    const auto leads = m_replica.role() == consensus::Role::Leader;
+    m_log.add(now, telemetry::LogImportance::Important, "control", leads ? "elected" : "deposed",
+              {{"term", m_replica.term()}});
+    m_leaderSince = now;
+    // What was proposed may or may not be committed; only a later look at the state can tell.
+    auto handlers = std::exchange(m_commandHandlers, {});
+    m_commands.clear();
+    m_oldestCommand.reset();
+    m_urgent = false;
+    for (auto &[index, batch] : std::exchange(m_inFlight, {}))
+        std::move(batch.handlers.begin(), batch.handlers.end(), std::back_inserter(handlers));
+    for (const auto &handler : handlers)
+        handler(now, false);
+    // Gateways submit what they wait for to the new leader.
+    m_dispatcher = Dispatcher();
+    m_dispatcher.setUpstreams(now, m_state.upstreams(), m_state.configuration());
+    m_admissions.clear();
+    m_members.clear();
+    m_absentSince.clear();
+    m_lastSequence.clear();
+    m_quotas = std::make_unique<QuotaTable>(now, m_settings.quotaWindow, m_settings.quotaOverage,
+                                            m_settings.quotaSlack);
+}
+
+auto ControlNode::compactIfNeeded() -> void
+{
+    if (m_applied < m_snapshotAt + m_settings.compactAfter)
+        return;
+    m_snapshotAt = m_applied;
+    const auto state = std::make_shared<const std::string>(m_state.snapshot());
+    const auto meta = m_replica.compact(m_applied, state);
+    storage::Compaction compaction;
+    compaction.snapshots.emplace_back(kControlGroup, consensus::Snapshot{meta, state});
+    auto retained = m_replica.retainedState();
+    wire::StoredRecord record;
+    record.group = kControlGroup;
+    record.hardState = retained.hardState;
+    record.entries = std::move(retained.entries);
+    compaction.records.push_back(std::move(record));
+    m_output.storage.emplace_back(std::move(compaction));
+}
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/src/event_splitter.cpp
@@ -0,0 +1,60 @@
+#include <heathergate/fleet/event_splitter.h>
+
+#include <charconv>
+
+namespace heathergate::fleet {
+
+namespace {
+
+/// Returns the position behind the blank line that ends the first event, or npos.
+auto endOfEvent(std::string_view bytes) -> std::size_t
+{
+    for (std::size_t at = bytes.find('\n'); at != std::string_view::npos;
+         at = bytes.find('\n', at + 1)) {
+        if (bytes.substr(at + 1, 1) == "\n")
+            return at + 2;
+        if (bytes.substr(at + 1, 2) == "\r\n")
+            return at + 3;
+    }
+    return std::string_view::npos;
+}
+
+auto idOf(std::string_view event) -> std::optional<std::uint64_t>
+{
+    constexpr std::string_view kField = "id:";
+    while (!event.empty()) {
+        auto line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(line.size() + 1, event.size()));
+        if (!line.starts_with(kField))
+            continue;
+        line.remove_prefix(kField.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        const auto result = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (result.ec == std::errc())
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+auto EventSplitter::feed(std::string_view bytes) -> std::vector<StreamEvent>
+{
+    m_rest.append(bytes);
+    std::vector<StreamEvent> events;
+    std::size_t start = 0;
+    while (true) {
+        const auto rest = std::string_view(m_rest).substr(start);
+        const auto size = endOfEvent(rest);
+        if (size == std::string_view::npos)
+            break;
+        events.push_back({std::string(rest.substr(0, size)), idOf(rest.substr(0, size))});
+        start += size;
+    }
+    m_rest.erase(0, start);
+    return events;
+}
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/src/fleet_state.cpp
@@ -0,0 +1,195 @@
+#include <heathergate/fleet/fleet_state.h>
+
+namespace heathergate::fleet {
+
+namespace {
+
+constexpr std::chrono::microseconds kSweepInterval = std::chrono::seconds(5);
+/// Shortest time for which a budget outlives its last use.
+constexpr std::chrono::microseconds kLeastRetention = std::chrono::seconds(60);
+/// Time for which a departed upstream is remembered, so that its late heartbeats are recognised.
+constexpr std::chrono::microseconds kGoneRetention = std::chrono::seconds(60);
+
+} // namespace
+
+auto ProgramBudget::reserved() const -> std::int64_t
+{
+    std::int64_t sum = 0;
+    for (const auto &[request, most] : outstanding)
+        sum += most;
+    return sum;
+}
+
+auto toTable(const UpstreamRecord &record) -> fb::UpstreamT
+{
+    fb::UpstreamT table;
+    table.id = record.id.value;
+    table.service = record.service.value;
+    table.address = record.address.text();
+    table.domain = record.domain.value;
+    table.slots = record.slots;
+    table.phase = static_cast<std::uint8_t>(record.phase);
+    table.born = record.born.count();
+    table.sequence = record.sequence;
+    return table;
+}
+
+auto fromTable(const fb::UpstreamT &table) -> UpstreamRecord
+{
+    UpstreamRecord record;
+    record.id = UpstreamId(table.id);
+    record.service = ServiceId(table.service);
+    if (const auto address = parseEndpoint(table.address))
+        record.address = *address;
+    record.domain = FailureDomainId(table.domain);
+    record.slots = table.slots;
+    record.phase = static_cast<UpstreamPhase>(table.phase);
+    record.born = std::chrono::milliseconds(table.born);
+    record.sequence = table.sequence;
+    return record;
+}
+
+auto FleetState::apply(GroupTime now, const fb::CommandBatchT &batch) -> std::vector<ReserveOutcome>
+{
+    std::vector<ReserveOutcome> outcomes;
+    for (const auto &command : batch.commands) {
+        if (command->reserve)
+            outcomes.push_back({command->reserve->request, reserve(now, *command->reserve)});
+        if (command->settle)
+            settle(now, *command->settle);
+        if (command->configuration)
+            setConfiguration(*command->configuration);
+        if (command->upstream && command->upstream->upstream)
+            setUpstream(now, *command->upstream->upstream);
+        if (command->retiring && command->retiring->retiring)
+            m_retiring.insert(InstanceId(command->retiring->instance));
+        else if (command->retiring)
+            m_retiring.erase(InstanceId(command->retiring->instance));
+    }
+    forgetOld(now);
+    return outcomes;
+}
+
+auto FleetState::reserve(GroupTime now, const fb::ReserveT &command) -> bool
+{
+    auto &program = m_budgets[command.program];
+    program.usedAt = now;
+    if (program.outstanding.contains(command.request))
+        return true;
+    if (program.spent + program.reserved() + command.most > command.budget)
+        return false;
+    program.outstanding.emplace(command.request, command.most);
+    return true;
+}
+
+auto FleetState::settle(GroupTime now, const fb::SettleT &command) -> void
+{
+    const auto program = m_budgets.find(command.program);
+    if (program == m_budgets.end())
+        return;
+    const auto reservation = program->second.outstanding.find(command.request);
+    if (reservation == program->second.outstanding.end())
+        return;
+    program->second.spent += command.used;
+    program->second.outstanding.erase(reservation);
+    program->second.usedAt = now;
+}
+
+auto FleetState::setConfiguration(const fb::SetConfigurationT &command) -> void
+{
+    if (command.version <= m_configuration.version())
+        return;
+    const auto content = toText(command.content);
+    auto configuration = decode<Configuration>(content);
+    if (!configuration)
+        return; // The leader proposes only what it has read itself.
+    m_configuration = ActiveConfiguration(std::move(*configuration));
+    m_content = content;
+    m_document = toText(command.document);
+    m_retention = kLeastRetention;
+    for (const auto &route : m_configuration.all().routes)
+        m_retention = std::max<std::chrono::microseconds>(m_retention, 2 * route.retention);
+}
+
+auto FleetState::setUpstream(GroupTime now, const fb::UpstreamT &upstream) -> void
+{
+    auto record = fromTable(upstream);
+    record.goneAt = now;
+    m_upstreams[record.id] = std::move(record);
+    ++m_upstreamChanges;
+}
+
+auto FleetState::forgetOld(GroupTime now) -> void
+{
+    if (now - m_lastSweep < kSweepInterval)
+        return;
+    m_lastSweep = now;
+    const auto retention = std::max(m_retention, kLeastRetention);
+    std::erase_if(m_budgets,
+                  [&](const auto &item) { return now - item.second.usedAt > retention; });
+    std::erase_if(m_upstreams, [&](const auto &item) {
+        return item.second.phase == UpstreamPhase::Gone
+               && now - item.second.goneAt > kGoneRetention;
+    });
+}
+
+auto FleetState::snapshot() const -> std::string
+{
+    fb::StateSnapshotT table;
+    table.sweptAt = m_lastSweep.count();
+    if (m_configuration.version() != 0) {
+        table.configuration = std::make_unique<fb::SetConfigurationT>();
+        table.configuration->version = m_configuration.version();
+        table.configuration->content = toBytes(m_content);
+        table.configuration->document = toBytes(m_document);
+    }
+    for (const auto &[id, record] : m_upstreams) {
+        table.upstreams.push_back(std::make_unique<fb::UpstreamT>(toTable(record)));
+        table.goneAt.push_back(record.goneAt.count());
+    }
+    for (const auto &[key, program] : m_budgets) {
+        auto budget = std::make_unique<fb::ProgramBudgetT>();
+        budget->program = key;
+        budget->spent = program.spent;
+        budget->usedAt = program.usedAt.count();
+        for (const auto &[request, most] : program.outstanding) {
+            auto outstanding = std::make_unique<fb::OutstandingT>();
+            outstanding->request = request;
+            outstanding->most = most;
+            budget->outstanding.push_back(std::move(outstanding));
+        }
+        table.budgets.push_back(std::move(budget));
+    }
+    for (const auto &instance : m_retiring)
+        table.retiring.push_back(instance.value);
+    return pack(table);
+}
+
+auto FleetState::restore(std::string_view bytes) -> Result<void>
+{
+    const auto table = unpack<fb::StateSnapshotT>(bytes);
+    if (!table)
+        return tl::unexpected(table.error());
+    *this = FleetState();
+    m_lastSweep = GroupTime(table->sweptAt);
+    if (table->configuration)
+        setConfiguration(*table->configuration);
+    for (std::size_t i = 0; i < table->upstreams.size(); ++i) {
+        auto record = fromTable(*table->upstreams[i]);
+        record.goneAt = GroupTime(i < table->goneAt.size() ? table->goneAt[i] : 0);
+        m_upstreams[record.id] = std::move(record);
+    }
+    ++m_upstreamChanges;
+    for (const auto &budget : table->budgets) {
+        auto &program = m_budgets[budget->program];
+        program.spent = budget->spent;
+        program.usedAt = GroupTime(budget->usedAt);
+        for (const auto &outstanding : budget->outstanding)
+            program.outstanding.emplace(outstanding->request, outstanding->most);
+    }
+    for (const auto &instance : table->retiring)
+        m_retiring.insert(InstanceId(instance));
+    return {};
+}
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/src/gateway.cpp
@@ -0,0 +1,173 @@
+#include <heathergate/fleet/gateway.h>
+
+/// The gateway's side of the fleet: the leader, the configuration, and the steps.
+namespace heathergate::fleet {
+
+namespace {
+
+using telemetry::LogImportance;
+
+/// Time for which completions are kept for the next leader.
+constexpr Duration kCompletionMemory = std::chrono::seconds(5);
+/// Gateways begin with different control instances.
+constexpr std::size_t kMaxFirstAsked = 64;
+
+} // namespace
+
+Gateway::Gateway(GatewaySettings settings, Random random, telemetry::EventLog &log, TimePoint now)
+    : m_settings(std::move(settings))
+    , m_random(random)
+    , m_log(log)
+    , m_lastAdmission(m_random.next() >> 8)
+    , m_link(m_settings.seeds, m_random.below(kMaxFirstAsked), now)
+{
+}
+
+auto Gateway::receive(TimePoint now, const InstanceId &from, PeerFrame frame) -> void
+{
+    auto *message = std::get_if<Message>(&frame);
+    if (message != nullptr)
+        std::visit([&](auto &body) { handle(now, from, body); }, *message);
+}
+
+auto Gateway::tick(TimePoint now) -> void
+{
+    if (m_link.expire(now))
+        noteLeaderLost(now, "silent");
+    if (now >= m_link.nextPresence())
+        sendPresence(now);
+    while (!m_recentCompletions.empty()
+           && now - m_recentCompletions.front().first > kCompletionMemory)
+        m_recentCompletions.pop_front();
+    std::vector<CallerToken> tokens;
+    for (const auto &[token, call] : m_calls)
+        tokens.push_back(token);
+    for (const auto token : tokens) {
+        const auto found = m_calls.find(token);
+        if (found == m_calls.end())
+            continue;
+        auto &call = found->second;
+        const auto limit = call.phase == Phase::Waiting ? call.startBy : call.deadline;
+        if (now >= limit)
+            deadlinePassed(now, call);
+        else if (call.phase == Phase::Running)
+            checkSilence(now, call);
+    }
+}
+
+auto Gateway::nextDeadline() const -> TimePoint
+{
+    auto next = m_link.nextPresence();
+    for (const auto &[token, call] : m_calls) {
+        next = std::min(next, call.phase == Phase::Waiting ? call.startBy : call.deadline);
+        if (call.phase == Phase::Running)
+            next = std::min(next, call.lastByteAt + silenceLimit(call));
+    }
+    return next;
+}
+
+auto Gateway::isReady(TimePoint now) const -> bool
+{
+    return !m_leaving && m_configuration.version() != 0 && now - m_link.lastAnswer() < kFreshness;
+}
+
+auto Gateway::leave(TimePoint now) -> void
+{
+    m_leaving = true;
+    sendPresence(now);
+}
+
+auto Gateway::sendPresence(TimePoint now) -> void
+{
+    const auto target = m_link.target(now);
+    m_link.presenceSent(now);
+    if (!target)
+        return;
+    fb::PresenceT presence;
+    presence.boot = m_settings.boot;
+    presence.role = static_cast<std::uint8_t>(Role::Gateway);
+    presence.name = m_settings.name;
+    presence.domain = m_settings.domain.value;
+    presence.address = m_settings.callerAddress;
+    presence.ready = !m_leaving && m_configuration.version() != 0;
+    presence.leaving = m_leaving;
+    presence.configurationVersion = m_configuration.version();
+    m_effects.emplace_back(PeerOut{*target, PeerFrame(Message(std::move(presence)))});
+}
+
+auto Gateway::handle(TimePoint now, const InstanceId &from, fb::FeedT &message) -> void
+{
+    const auto isNew = m_link.answered(now, from, message.term);
+    if (!isNew)
+        return; // A leader that has been replaced.
+    m_link.learn(instanceIds(message.controls));
+    applyConfiguration(now, message);
+    if (*isNew)
+        leaderFound(now);
+}
+
+auto Gateway::handle(TimePoint now, const InstanceId &from, fb::RedirectT &message) -> void
+{
+    m_link.learn(instanceIds(message.controls));
+    if (m_link.redirected(now, from, message.leader))
+        noteLeaderLost(now, "redirected");
+}
+
+auto Gateway::peerLost(TimePoint now, const InstanceId &peer) -> void
+{
+    if (m_link.connectionLost(now, peer))
+        noteLeaderLost(now, "connection_lost");
+}
+
+auto Gateway::noteLeaderLost(TimePoint now, std::string_view why) -> void
+{
+    m_metrics.count("heathergate_leader_losses_total", {{"why", std::string(why)}});
+    m_log.add(now, LogImportance::Important, "fleet", "leader_lost",
+              {{"why", why},
+               {"term", m_link.term()},
+               {"answer_age_ms", now - m_link.lastAnswer()},
+               {"calls", m_calls.size()}});
+}
+
+auto Gateway::leaderFound(TimePoint now) -> void
+{
+    m_log.add(
+        now, LogImportance::Important, "fleet", "leader_found",
+        {{"leader", m_link.leader()->value}, {"term", m_link.term()}, {"calls", m_calls.size()}});
+    // The new leader knows nothing of what runs or waits here.
+    for (const auto &[at, completion] : m_recentCompletions)
+        sendToLeader(Message(completion));
+    for (const auto &[token, call] : m_calls)
+        sendToLeader(Message(admissionOf(now, call)));
+}
+
+auto Gateway::sendToLeader(Message message) -> void
+{
+    if (m_link.leader())
+        m_effects.emplace_back(PeerOut{*m_link.leader(), PeerFrame(std::move(message))});
+}
+
+auto Gateway::applyConfiguration(TimePoint now, const fb::FeedT &message) -> void
+{
+    if (message.configuration.empty() || message.configurationVersion <= m_configuration.version())
+        return;
+    auto configuration = decode<Configuration>(toText(message.configuration));
+    if (!configuration) {
+        m_log.add(
+            now, LogImportance::Important, "fleet", "configuration_unreadable",
+            {{"version", message.configurationVersion}, {"detail", configuration.error().detail}});
+        return;
+    }
+    m_log.add(now, LogImportance::Important, "fleet", "configuration_in_force",
+              {{"version", configuration->version},
+               {"before", m_configuration.version()},
+               {"term", message.term},
+               {"routes", configuration->routes.size()}});
+    const auto wasEmpty = m_configuration.version() == 0;
+    m_configuration = ActiveConfiguration(std::move(*configuration));
+    m_effects.emplace_back(ConfigurationChanged{m_configuration.all().limits});
+    if (wasEmpty)
+        m_link.hurry(now); // Callers may come from now on.
+}
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -0,0 +1,495 @@
+#include <heathergate/fleet/gateway.h>
+
+/// The way of a request through the gateway.
+namespace heathergate::fleet {
+
+namespace {
+
+using telemetry::LogImportance;
+
+/// A customer's rank goes before that of its routes, whose priorities lie below this number.
+constexpr int kRoutePriorities = 100;
+/// Upstreams that one request is sent to at most, whatever went wrong there.
+constexpr int kMaxTries = 4;
+constexpr int kMaxDeclines = 3;
+/// Callers abandon a stream after the longest of: this pause, and the multiples of the targets.
+constexpr Duration kAbandonedPause = std::chrono::seconds(2);
+constexpr int kAbandonedLatencies = 4;
+constexpr int kAbandonedGaps = 8;
+/// Time kept for the work itself when a request waits for a place.
+constexpr Duration kStreamStartMargin = std::chrono::milliseconds(400);
+constexpr Duration kCallStartMargin = std::chrono::milliseconds(100);
+/// Longest time without a byte of a stream before its upstream counts as silent.
+constexpr Duration kStreamSilence = std::chrono::milliseconds(1100);
+/// The same for an idempotent request, in multiples of its target latency, and at least.
+constexpr int kSilentLatencies = 6;
+constexpr Duration kLeastSilence = std::chrono::milliseconds(500);
+/// Longest body that is kept until it is whole; a longer one is passed on as it comes.
+constexpr std::size_t kMaxHeldBody = 256 * 1024;
+constexpr Duration kNoLeaderRetryAfter = std::chrono::milliseconds(300);
+constexpr Duration kNoConfigurationRetryAfter = std::chrono::milliseconds(300);
+
+auto callError(Code code, std::string detail, Ran ran, Duration retryAfter = {}) -> Error
+{
+    return Error{code, std::move(detail), ran, retryAfter};
+}
+
+} // namespace
+
+auto Gateway::request(TimePoint now, const CallerRequest &request) -> void
+{
+    auto opened = openCall(now, request);
+    if (!opened) {
+        const auto &error = opened.error();
+        m_log.add(now, LogImportance::Important, "calls", "refused",
+                  {{"request", request.name},
+                   {"code", static_cast<int>(error.code)},
+                   {"detail", error.detail},
+                   {"version", m_configuration.version()},
+                   {"ran", ranText(error.ran)}});
+        m_metrics.count("heathergate_calls_total",
+                        {{"outcome", std::string(codeInfo(error.code).name)}});
+        m_effects.emplace_back(RefuseCaller{request.token, error});
+        return;
+    }
+    auto &call = m_calls[request.token] = std::move(*opened);
+    m_byAdmission[call.admission] = request.token;
+    submit(now, call);
+}
+
+auto Gateway::openCall(TimePoint now, const CallerRequest &request) -> Result<Call>
+{
+    if (m_configuration.version() == 0)
+        return fail(Code::StaleConfiguration, "no configuration is known yet", Ran::No,
+                    kNoConfigurationRetryAfter);
+    const auto *route = m_configuration.route(request.host, request.path);
+    if (route == nullptr)
+        return fail(Code::UnknownRoute, "no route for this host and path");
+    Call call;
+    const Customer *customer = nullptr;
+    if (!m_configuration.all().customers.empty() && !route->isOpen) {
+        if (!request.key)
+            return fail(Code::MissingKey, "the request has no key");
+        customer = m_configuration.customerOf(*request.key);
+        if (customer == nullptr)
+            return fail(Code::UnknownKey, "nobody holds this key");
+        call.customer = customer->id;
+    }
+    call.request = request;
+    call.admission = ++m_lastAdmission;
+    call.kind = route->kind;
+    call.route = route->name;
+    call.service = pickService(*route);
+    call.rank = (customer == nullptr ? 0 : customer->priority * kRoutePriorities)
+                + std::min(route->priority, kRoutePriorities - 1);
+    call.maxAttempts = std::max(route->maxAttempts, 1);
+    call.isResumable = route->isResumable;
+    call.targetLatency = route->targetLatency;
+    const auto *service = m_configuration.service(call.service);
+    if (service != nullptr && service->engine)
+        call.tokensPerEvent = std::max(service->engine->tokensPerEvent, 1);
+    call.arrivedAt = now;
+    call.deadline = now + std::min(route->timeout, request.patience.value_or(route->timeout));
+    call.startBy = call.deadline - kCallStartMargin;
+    if (route->kind == RouteKind::Stream) {
+        const auto abandoned =
+            std::max({kAbandonedPause, kAbandonedLatencies * route->targetLatency,
+                      kAbandonedGaps * route->targetGap});
+        call.startBy = std::min(call.deadline, now + abandoned) - kStreamStartMargin;
+    }
+    call.startBy = std::max(call.startBy, now);
+    call.lastEvent = request.lastEvent;
+    return call;
+}
+
+auto Gateway::pickService(const Route &route) -> ServiceId
+{
+    double total = 0;
+    for (const auto &target : route.targets)
+        total += target.weight;
+    auto rest = m_random.unit() * total;
+    for (const auto &target : route.targets) {
+        rest -= target.weight;
+        if (rest < 0 && target.weight > 0)
+            return target.service;
+    }
+    return route.targets.back().service;
+}
+
+auto Gateway::submit(TimePoint now, Call &call) -> void
+{
+    call.phase = Phase::Waiting;
+    sendToLeader(Message(admissionOf(now, call)));
+}
+
+auto Gateway::admissionOf(TimePoint now, const Call &call) const -> fb::AdmissionT
+{
+    const auto &request = call.request;
+    fb::AdmissionT admission;
+    admission.request = call.admission;
+    admission.customer = call.customer.value;
+    admission.service = call.service.value;
+    admission.domain = m_settings.domain.value;
+    admission.rank = call.rank;
+    admission.timeLeft = (call.deadline - now).count();
+    admission.patience = (call.startBy - now).count();
+    admission.finishIn = request.finishIn ? (call.arrivedAt + *request.finishIn - now).count() : -1;
+    if (admission.finishIn < 0 && request.finishIn)
+        admission.finishIn = 0;
+    admission.budget = -1;
+    if (request.budget && !request.program.empty()) {
+        admission.program = call.customer.value + "/" + request.program;
+        admission.budget = *request.budget;
+        admission.mostTokens = request.mostTokens;
+    }
+    for (const auto &part : request.prompt) {
+        auto table = std::make_unique<fb::PromptPartT>();
+        table->id = part.id;
+        table->tokens = part.tokens;
+        admission.prompt.push_back(std::move(table));
+    }
+    admission.expectedTokens = static_cast<int>(request.expectedTokens);
+    admission.fingerprint = request.fingerprint;
+    for (const auto &upstream : call.avoid)
+        admission.avoid.push_back(upstream.value);
+    admission.again = call.admittedBefore;
+    if (call.phase == Phase::Running)
+        admission.runningAt = call.upstream.value;
+    else if (call.stayAt)
+        admission.stayAt = call.stayAt->value;
+    return admission;
+}
+
+auto Gateway::byAttempt(AttemptId attempt) -> Call *
+{
+    const auto token = m_byAttempt.find(attempt);
+    return token == m_byAttempt.end() ? nullptr : &m_calls.at(token->second);
+}
+
+auto Gateway::byAdmission(std::uint64_t admission) -> Call *
+{
+    const auto token = m_byAdmission.find(admission);
+    return token == m_byAdmission.end() ? nullptr : &m_calls.at(token->second);
+}
+
+auto Gateway::handle(TimePoint now, const InstanceId &, fb::GrantT &message) -> void
+{
+    auto *call = byAdmission(message.request);
+    const auto address = parseEndpoint(message.address);
+    if (call != nullptr && call->phase == Phase::Running)
+        return; // Granted twice after the connection with the leader broke.
+    if (call == nullptr || !address) {
+        fb::CompletionT completion;
+        completion.request = message.request;
+        completion.ending = static_cast<std::uint8_t>(Ending::Cancelled);
+        completion.final = true;
+        sendToLeader(Message(std::move(completion)));
+        return;
+    }
+    startAttempt(now, *call, UpstreamId(message.upstream), *address);
+}
+
+auto Gateway::handle(TimePoint now, const InstanceId &, fb::RefusalT &message) -> void
+{
+    auto *call = byAdmission(message.request);
+    if (call == nullptr || call->phase == Phase::Running)
+        return;
+    const auto code = static_cast<Code>(message.code);
+    call->isSettled = !call->admittedBefore;
+    const auto ran = call->ranAt.empty() ? Ran::No : Ran::Unknown;
+    refuse(now, *call, Ending::Cancelled,
+           callError(ran == Ran::No ? code : Code::UpstreamFailed,
+                     std::string(codeInfo(code).meaning), ran, Duration(message.retryAfter)));
+}
+
+auto Gateway::startAttempt(TimePoint now, Call &call, const UpstreamId &upstream,
+                           const Endpoint &address) -> void
+{
+    call.phase = Phase::Running;
+    call.attempt = ++m_lastAttempt;
+    call.upstream = upstream;
+    call.admittedBefore = true;
+    call.sentAt = now;
+    call.lastByteAt = now;
+    call.firstByteAt.reset();
+    call.headSeen = false;
+    call.body.clear();
+    call.events.reset();
+    ++call.tries;
+    m_byAttempt[call.attempt] = call.request.token;
+    m_log.add(now, LogImportance::Routine, "calls", "sent",
+              {{"request", call.request.name},
+               {"program", call.request.program},
+               {"customer", call.customer.value},
+               {"route", call.route},
+               {"upstream", upstream.value},
+               {"try", call.tries},
+               {"waited_ms", now - call.arrivedAt},
+               {"left_ms", call.deadline - now},
+               {"after_event", call.lastEvent ? std::to_string(*call.lastEvent) : "none"},
+               {"version", m_configuration.version()},
+               {"term", m_link.term()}});
+    StartAttempt start;
+    start.token = call.request.token;
+    start.attempt = call.attempt;
+    start.upstream = upstream;
+    start.address = address;
+    start.customer = call.customer;
+    start.timeLeft = call.deadline - now;
+    start.resumeAfter = call.lastEvent;
+    start.runsOnce =
+        call.kind == RouteKind::Unsafe || (call.kind == RouteKind::Stream && !call.isResumable);
+    m_effects.emplace_back(std::move(start));
+}
+
+auto Gateway::attemptHead(TimePoint now, AttemptId attempt, const AttemptHead &head) -> void
+{
+    auto *call = byAttempt(attempt);
+    if (call == nullptr)
+        return;
+    call->head = head;
+    call->headSeen = true;
+    call->lastByteAt = now;
+}
+
+auto Gateway::attemptData(TimePoint now, AttemptId attempt, std::string_view bytes) -> void
+{
+    auto *call = byAttempt(attempt);
+    if (call == nullptr)
+        return;
+    call->lastByteAt = now;
+    if (!call->firstByteAt)
+        call->firstByteAt = now;
+    if (call->head.declined || !call->head.genuine)
+        return;
+    constexpr int kOk = 200;
+    if (call->kind == RouteKind::Stream && call->head.status == kOk)
+        return streamData(now, *call, bytes);
+    call->body.append(bytes);
+    if (call->body.size() < kMaxHeldBody)
+        return;
+    // Too long to keep; from here on a failure shows as an answer that breaks off.
+    if (!std::exchange(call->headPassed, true))
+        m_effects.emplace_back(PassHead{call->request.token, attempt});
+    m_effects.emplace_back(PassData{call->request.token, std::exchange(call->body, {})});
+}
+
+auto Gateway::streamData(TimePoint now, Call &call, std::string_view bytes) -> void
+{
+    std::string ready;
+    for (auto &event : call.events.feed(bytes)) {
+        if (!acceptEvent(call, event)) {
+            m_log.add(now, LogImportance::Important, "calls", "event_out_of_order",
+                      {{"request", call.request.name},
+                       {"upstream", call.upstream.value},
+                       {"event", event.id.value_or(0)},
+                       {"last", call.lastEvent.value_or(0)}});
+            if (!ready.empty())
+                m_effects.emplace_back(PassData{call.request.token, std::move(ready)});
+            m_effects.emplace_back(CancelAttempt{call.attempt});
+            return attemptFailed(now, call, Ending::Broken, true);
+        }
+        ready += event.bytes;
+    }
+    if (ready.empty())
+        return;
+    if (!std::exchange(call.headPassed, true)) {
+        m_effects.emplace_back(PassHead{call.request.token, call.attempt});
+        m_metrics.observe("heathergate_first_event_seconds", {{"route", call.route}},
+                          now - call.arrivedAt);
+    }
+    m_effects.emplace_back(PassData{call.request.token, std::move(ready)});
+}
+
+auto Gateway::acceptEvent(Call &call, const StreamEvent &event) -> bool
+{
+    if (event.id && call.lastEvent && *event.id != *call.lastEvent + 1)
+        return false;
+    if (event.id)
+        call.lastEvent = event.id;
+    call.tokens += call.tokensPerEvent;
+    return true;
+}
+
+auto Gateway::attemptEnd(TimePoint now, AttemptId attempt, const AttemptEnd &end) -> void
+{
+    auto *call = byAttempt(attempt);
+    if (call == nullptr)
+        return;
+    if (!end.connected)
+        return attemptFailed(now, *call, Ending::Unreachable, end.sent);
+    if (!end.complete || !call->headSeen)
+        return attemptFailed(now, *call, Ending::Broken, end.sent);
+    if (call->head.declined)
+        return attemptFailed(now, *call, Ending::Declined, false);
+    if (!call->head.genuine || !call->events.isAtBoundary())
+        return attemptFailed(now, *call, Ending::Broken, true);
+    attemptSucceeded(now, *call);
+}
+
+auto Gateway::attemptSucceeded(TimePoint now, Call &call) -> void
+{
+    constexpr int kFirstServerError = 500;
+    const auto token = call.request.token;
+    const auto failed = call.head.status >= kFirstServerError;
+    if (call.headPassed) {
+        if (!call.body.empty())
+            m_effects.emplace_back(PassData{token, std::move(call.body)});
+        m_effects.emplace_back(EndAnswer{token, !failed});
+    } else {
+        m_effects.emplace_back(PassWhole{token, call.attempt, std::move(call.body)});
+    }
+    finish(now, call, failed ? Ending::Failed : Ending::Answered,
+           failed ? "upstream_failure" : "answered");
+}
+
+auto Gateway::attemptFailed(TimePoint now, Call &call, Ending ending, bool sent) -> void
+{
+    m_byAttempt.erase(call.attempt);
+    m_log.add(now, LogImportance::Important, "calls", "attempt_failed",
+              {{"request", call.request.name},
+               {"upstream", call.upstream.value},
+               {"ending", static_cast<int>(ending)},
+               {"sent", sent ? 1 : 0},
+               {"status", call.headSeen ? call.head.status : 0},
+               {"try", call.tries},
+               {"after_ms", now - call.sentAt},
+               {"silent_ms", now - call.lastByteAt},
+               {"left_ms", call.deadline - now}});
+    m_metrics.count("heathergate_attempt_failures_total",
+                    {{"ending", std::to_string(static_cast<int>(ending))}});
+    if (sent)
+        call.ranAt.insert(call.upstream);
+    if (tryAgain(now, call, ending, sent))
+        return;
+    const auto ran = call.ranAt.empty() ? Ran::No : Ran::Unknown;
+    refuse(now, call, ending,
+           callError(ran == Ran::No ? Code::NoUpstream : Code::UpstreamFailed,
+                     "the upstream did not answer as it should", ran, kNoLeaderRetryAfter));
+}
+
+/// Asks for another place if the kind of the request allows it. An answer that broke off goes on
+/// at the same upstream when no other one may run the request.
+auto Gateway::tryAgain(TimePoint now, Call &call, Ending ending, bool sent) -> bool
+{
+    const auto repeatable =
+        call.kind == RouteKind::Safe || (call.kind == RouteKind::Stream && call.isResumable);
+    const auto held = !call.headPassed || call.kind == RouteKind::Stream;
+    if ((sent && !repeatable) || !held || call.tries >= kMaxTries || now >= call.deadline)
+        return false;
+    if (ending == Ending::Declined && ++call.declines > kMaxDeclines)
+        return false;
+    reportEnding(now, call, ending, false);
+    call.stayAt.reset();
+    const auto mayMove = ending == Ending::Unreachable || ending == Ending::Declined
+                         || call.ranAt.size() < static_cast<std::size_t>(call.maxAttempts);
+    if (mayMove)
+        call.avoid.push_back(call.upstream);
+    else
+        call.stayAt = call.upstream;
+    if (ending == Ending::Unreachable)
+        call.ranAt.erase(call.upstream); // It has ended, and its work with it.
+    call.startBy = std::max(call.startBy, std::min(call.deadline, now + kLeastSilence));
+    submit(now, call);
+    return true;
+}
+
+auto Gateway::reportEnding(TimePoint now, const Call &call, Ending ending, bool final) -> void
+{
+    if (call.isSettled)
+        return;
+    fb::CompletionT completion;
+    completion.request = call.admission;
+    completion.ending = static_cast<std::uint8_t>(ending);
+    completion.tokens = std::min(call.tokens, std::max<std::int64_t>(call.request.mostTokens, 0));
+    completion.final = final;
+    completion.duration = call.phase == Phase::Running ? (now - call.sentAt).count() : 0;
+    completion.first = call.firstByteAt ? (*call.firstByteAt - call.sentAt).count() : 0;
+    if (final && call.request.budget && !call.request.program.empty()) {
+        completion.program = call.customer.value + "/" + call.request.program;
+        m_recentCompletions.emplace_back(now, completion);
+    }
+    sendToLeader(Message(std::move(completion)));
+}
+
+auto Gateway::finish(TimePoint now, Call &call, Ending ending, std::string_view outcome) -> void
+{
+    reportEnding(now, call, ending, true);
+    const auto importance =
+        ending == Ending::Answered ? LogImportance::Routine : LogImportance::Important;
+    m_log.add(now, importance, "calls", "ended",
+              {{"request", call.request.name},
+               {"outcome", outcome},
+               {"upstream", call.upstream.value},
+               {"status", call.headSeen ? call.head.status : 0},
+               {"tokens", call.tokens},
+               {"tries", call.tries},
+               {"total_ms", now - call.arrivedAt}});
+    m_metrics.count("heathergate_calls_total", {{"outcome", std::string(outcome)}});
+    m_metrics.observe("heathergate_call_seconds",
+                      {{"route", call.route}, {"customer", call.customer.value}},
+                      now - call.arrivedAt);
+    m_byAttempt.erase(call.attempt);
+    m_byAdmission.erase(call.admission);
+    m_calls.erase(call.request.token);
+}
+
+auto Gateway::refuse(TimePoint now, Call &call, Ending ending, Error error) -> void
+{
+    const auto token = call.request.token;
+    m_log.add(now, LogImportance::Important, "calls", "refused",
+              {{"request", call.request.name},
+               {"code", static_cast<int>(error.code)},
+               {"detail", error.detail},
+               {"ran", ranText(error.ran)},
+               {"retry_after_ms", error.retryAfter},
+               {"held_ms", now - call.arrivedAt},
+               {"version", m_configuration.version()}});
+    const std::string outcome(codeInfo(error.code).name);
+    if (call.headPassed)
+        m_effects.emplace_back(EndAnswer{token, false});
+    else
+        m_effects.emplace_back(RefuseCaller{token, std::move(error)});
+    finish(now, call, ending, outcome);
+}
+
+auto Gateway::callerGone(TimePoint now, CallerToken token) -> void
+{
+    const auto found = m_calls.find(token);
+    if (found == m_calls.end())
+        return;
+    auto &call = found->second;
+    if (call.phase == Phase::Running)
+        m_effects.emplace_back(CancelAttempt{call.attempt});
+    finish(now, call, Ending::Cancelled, "caller_gone");
+}
+
+auto Gateway::deadlinePassed(TimePoint now, Call &call) -> void
+{
+    if (call.phase == Phase::Running)
+        m_effects.emplace_back(CancelAttempt{call.attempt});
+    const auto mayHaveRun = call.phase == Phase::Running || !call.ranAt.empty();
+    refuse(now, call, Ending::Cancelled,
+           mayHaveRun ? callError(Code::Timeout, "the time of the request is up", Ran::Unknown)
+                      : callError(m_link.leader() ? Code::QueueFull : Code::NoQuorum,
+                                  "no place was free in time", Ran::No, kNoLeaderRetryAfter));
+}
+
+auto Gateway::silenceLimit(const Call &call) const -> Duration
+{
+    if (call.kind == RouteKind::Stream && call.isResumable)
+        return kStreamSilence;
+    if (call.kind == RouteKind::Safe && call.maxAttempts > 1)
+        return std::max(kLeastSilence, kSilentLatencies * call.targetLatency);
+    return std::chrono::hours(1); // Nothing could be done but wait for the deadline.
+}
+
+auto Gateway::checkSilence(TimePoint now, Call &call) -> void
+{
+    if (now - call.lastByteAt < silenceLimit(call))
+        return;
+    m_effects.emplace_back(CancelAttempt{call.attempt});
+    attemptFailed(now, call, Ending::Silent, true);
+}
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/src/peer_frame.cpp
@@ -0,0 +1,43 @@
+#include <heathergate/fleet/peer_frame.h>
+
+#include <heathergate/wire/wire.h>
+
+namespace heathergate::fleet {
+
+namespace {
+
+constexpr char kConsensusMark = 'c';
+constexpr char kFleetMark = 'f';
+
+} // namespace
+
+auto encodeFrame(PeerFrame frame) -> std::string
+{
+    if (const auto *envelope = std::get_if<consensus::Envelope>(&frame))
+        return kConsensusMark
+               + wire::encodeMessage(wire::ConsensusMessage{kControlGroup, *envelope});
+    return kFleetMark + encodeMessage(std::move(std::get<Message>(frame)));
+}
+
+auto decodeFrame(std::string_view bytes) -> Result<PeerFrame>
+{
+    if (bytes.empty())
+        return fail(Code::BadFrame, "an empty frame");
+    // A copy is aligned as the decoders need it.
+    const std::string body(bytes.substr(1));
+    if (bytes.front() == kFleetMark) {
+        auto message = decodeMessage(body);
+        if (!message)
+            return tl::unexpected(message.error());
+        return PeerFrame(std::move(*message));
+    }
+    auto message = wire::decodeMessage(body);
+    if (!message)
+        return tl::unexpected(message.error());
+    auto *consensusMessage = std::get_if<wire::ConsensusMessage>(&*message);
+    if (consensusMessage == nullptr)
+        return fail(Code::BadFrame, "a frame of another protocol");
+    return PeerFrame(std::move(consensusMessage->envelope));
+}
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/fleet/src/poison_register.cpp
@@ -0,0 +1,44 @@
+#include <heathergate/fleet/poison_register.h>
+
+namespace heathergate::fleet {
+
+namespace {
+
+/// Upstreams that a request may break until it is refused.
+constexpr int kMaxBreaks = 3;
+/// Time for which a request that broke an upstream stays suspect.
+constexpr Duration kMemory = std::chrono::seconds(120);
+constexpr Duration kSweepInterval = std::chrono::seconds(10);
+
+} // namespace
+
+auto PoisonRegister::broke(TimePoint now, std::uint64_t fingerprint) -> void
+{
+    forgetOld(now);
+    auto &suspect = m_suspects[fingerprint];
+    ++suspect.breaks;
+    suspect.lastAt = now;
+}
+
+auto PoisonRegister::answered(std::uint64_t fingerprint) -> void
+{
+    m_suspects.erase(fingerprint);
+}
+
+auto PoisonRegister::isPoison(TimePoint now, std::uint64_t fingerprint) const -> bool
+{
+    const auto found = m_suspects.find(fingerprint);
+    return found != m_suspects.end() && found->second.breaks >= kMaxBreaks
+           && now - found->second.lastAt < kMemory;
+}
+
+auto PoisonRegister::forgetOld(TimePoint now) -> void
+{
+    if (now < m_nextSweep)
+        return;
+    m_nextSweep = now + kSweepInterval;
+    std::erase_if(m_suspects,
+                  [&](const auto &item) { return now - item.second.lastAt >= kMemory; });
+}
+
+} // namespace heathergate::fleet
--- /dev/null
+++ b/libs/node/include/heathergate/node/control_program.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <heathergate/fleet/fleet.h>
+#include <heathergate/log/log.h>
+#include <heathergate/node/process.h>
+#include <heathergate/storage/storage.h>
+
+namespace heathergate::node {
+
+/// Who the replica on a disk is.
+struct DiskIdentity
+{
+    consensus::ReplicaId replica;
+    /// Replicas that formed the group; empty for one that was added later.
+    consensus::Configuration genesis;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(DiskIdentity, replica, genesis)
+};
+
+/// Returns the identity on a disk. An empty disk gets a new one: that of a founder if the fleet
+/// starts for the first time and the instance is one of the seeds, else one that no vote was ever
+/// given under, so that a wiped disk cannot vote as its former self.
+[[nodiscard]] auto openIdentity(log::PosixFiles &files, const NodeSettings &settings)
+    -> Result<DiskIdentity>;
+
+/// Runs a control instance. `Face` speaks with operators, upstreams and callers of the directory:
+/// `Face(Process &, fleet::ControlNode &)`, `open() -> Result<void>` and `answer(const
+/// fleet::CallAnswer &)`.
+template <typename Face>
+class ControlProgram
+{
+public:
+    ControlProgram(NodeSettings settings, const std::string &file)
+        : m_process(std::move(settings), file)
+    {
+    }
+
+    /// Reads the disk and opens all addresses. Fails with the error of the disk or the setting.
+    [[nodiscard]] auto open() -> Result<void>
+    {
+        if (auto opened = openNode(); !opened)
+            return opened;
+        Process::Hooks hooks;
+        hooks.onFrame = [this](const InstanceId &from, std::string body) {
+            auto frame = fleet::decodeFrame(body);
+            if (frame)
+                m_node->receive(now(), from, std::move(*frame));
+            else
+                m_process.log().add(now(), telemetry::LogImportance::Important, "peers",
+                                    "frame_unreadable",
+                                    {{"from", from.value}, {"detail", frame.error().detail}});
+        };
+        hooks.onPeerLost = [](const InstanceId &) {};
+        hooks.onStop = [this] {
+            m_node->leave(now());
+            m_stopAt = now() + kHandOver;
+        };
+        hooks.onReload = [this](const NodeSettings &) { m_node->learnControls(m_process.seeds()); };
+        hooks.onRound = [this](TimePoint at) { return round(at); };
+        hooks.metrics = [this]() -> telemetry::Metrics & { return m_node->metrics(); };
+        if (auto opened = m_process.open(std::move(hooks)); !opened)
+            return opened;
+        m_face = std::make_unique<Face>(m_process, *m_node);
+        return m_face->open();
+    }
+
+    [[nodiscard]] auto run() -> int
+    {
+        return m_process.run();
+    }
+
+private:
+    /// Time for a successor to take over.
+    static constexpr Duration kHandOver = std::chrono::milliseconds(900);
+
+    [[nodiscard]] auto now() -> TimePoint
+    {
+        return m_process.loop().now();
+    }
+
+    auto openNode() -> Result<void>
+    {
+        const auto &settings = m_process.settings();
+        auto files = log::PosixFiles::open(settings.folder);
+        if (!files)
+            return tl::unexpected(files.error());
+        m_files = std::make_unique<log::PosixFiles>(std::move(*files));
+        auto identity = openIdentity(*m_files, settings);
+        if (!identity)
+            return tl::unexpected(identity.error());
+        auto recovered = storage::recoverGroups(*m_files, kControlGroup);
+        if (!recovered)
+            return tl::unexpected(recovered.error());
+        auto state = std::move(recovered->second[kControlGroup]);
+        m_process.log().add(now(), telemetry::LogImportance::Important, "storage", "recovered",
+                            {{"replica", identity->replica.value},
+                             {"founder", identity->genesis.voters.empty() ? 0 : 1},
+                             {"term", state.hardState.term},
+                             {"entries", state.entries.size()},
+                             {"snapshot", state.snapshot ? state.snapshot->meta.index : 0}});
+        m_node =
+            std::make_unique<fleet::ControlNode>(controlSettings(*identity), std::move(state),
+                                                 Random(randomNumber()), m_process.log(), now());
+        m_writer = std::make_unique<storage::LogWriter>(
+            *m_files, std::move(recovered->first),
+            [this](const std::vector<storage::SyncedUpTo> &synced) {
+                m_process.loop().post(
+                    [this, number = synced.back().number] { m_node->synced(now(), number); });
+            },
+            [this](const Error &error) {
+                m_process.loop().post([this, error] {
+                    m_process.log().add(now(), telemetry::LogImportance::Important, "storage",
+                                        "failed", {{"detail", error.detail}});
+                    m_process.stop(1);
+                });
+            });
+        return {};
+    }
+
+    [[nodiscard]] auto controlSettings(const DiskIdentity &identity) -> fleet::ControlSettings
+    {
+        const auto &settings = m_process.settings();
+        fleet::ControlSettings result;
+        result.self = m_process.self();
+        result.replica = identity.replica;
+        result.genesis = identity.genesis;
+        result.name = settings.name;
+        result.domain = settings.domain;
+        result.controlAddress = settings.control->text();
+        result.boot = randomNumber() | 1U;
+        result.seeds = m_process.seeds();
+        result.faultTolerance = settings.faultTolerance;
+        result.quotaWindow = settings.quotaWindow;
+        result.quotaOverage = settings.quotaOverage;
+        result.quotaSlack = settings.quotaSlack;
+        return result;
+    }
+
+    auto round(TimePoint at) -> TimePoint
+    {
+        m_node->tick(at);
+        auto output = m_node->takeOutput(at);
+        if (!output.storage.empty())
+            m_writer->write(std::move(output.storage));
+        for (auto &out : output.messages)
+            m_process.send(out.to, fleet::encodeFrame(std::move(out.frame)));
+        for (const auto &answer : output.answers)
+            m_face->answer(answer);
+        auto next = m_node->nextDeadline(at);
+        if (m_stopAt) {
+            const auto handedOver =
+                m_node->replica().role() != consensus::Role::Leader && m_node->replica().leader();
+            if (at >= *m_stopAt || handedOver)
+                m_process.stop(0);
+            next = std::min(next, *m_stopAt);
+        }
+        return next;
+    }
+
+    Process m_process;
+    std::unique_ptr<log::PosixFiles> m_files;
+    std::unique_ptr<fleet::ControlNode> m_node;
+    std::unique_ptr<Face> m_face;
+    std::optional<TimePoint> m_stopAt;
+    /// Ends first, as its thread posts to the loop.
+    std::unique_ptr<storage::LogWriter> m_writer;
+};
+
+} // namespace heathergate::node
--- /dev/null
+++ b/libs/node/include/heathergate/node/gateway_program.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <heathergate/fleet/fleet.h>
+#include <heathergate/node/process.h>
+
+namespace heathergate::node {
+
+/// Runs a gateway. `Face` speaks with callers and upstreams:
+/// `Face(Process &, fleet::Gateway &)`, `open() -> Result<void>`, `carryOut(fleet::GatewayEffect
+/// &)`, `beginLeaving()`, `finishLeaving()` and `openRequests() -> std::size_t`.
+template <typename Face>
+class GatewayProgram
+{
+public:
+    GatewayProgram(NodeSettings settings, const std::string &file)
+        : m_process(std::move(settings), file)
+        , m_gateway(gatewaySettings(), Random(randomNumber()), m_process.log(),
+                    m_process.loop().now())
+        , m_face(m_process, m_gateway)
+    {
+    }
+
+    /// Opens all addresses. Fails with `Code::BadSetting`.
+    [[nodiscard]] auto open() -> Result<void>
+    {
+        Process::Hooks hooks;
+        hooks.onFrame = [this](const InstanceId &from, std::string body) {
+            auto frame = fleet::decodeFrame(body);
+            if (frame)
+                m_gateway.receive(now(), from, std::move(*frame));
+            else
+                m_process.log().add(now(), telemetry::LogImportance::Important, "peers",
+                                    "frame_unreadable",
+                                    {{"from", from.value}, {"detail", frame.error().detail}});
+        };
+        hooks.onPeerLost = [this](const InstanceId &peer) { m_gateway.peerLost(now(), peer); };
+        hooks.onStop = [this] { beginLeaving(); };
+        hooks.onReload = [this](const NodeSettings &) {
+            m_gateway.learnControls(m_process.seeds());
+        };
+        hooks.onRound = [this](TimePoint at) { return round(at); };
+        hooks.metrics = [this]() -> telemetry::Metrics & { return m_gateway.metrics(); };
+        if (auto opened = m_process.open(std::move(hooks)); !opened)
+            return opened;
+        return m_face.open();
+    }
+
+    [[nodiscard]] auto run() -> int
+    {
+        return m_process.run();
+    }
+
+private:
+    /// Callers keep an answer of the directory for up to three times its time to live; after that
+    /// nobody comes any more.
+    static constexpr int kLongestKeep = 3;
+    /// What a directory needs to leave this gateway out.
+    static constexpr Duration kDirectoryLag = std::chrono::milliseconds(500);
+    /// Kept for the end of the process.
+    static constexpr Duration kExitMargin = std::chrono::milliseconds(700);
+
+    [[nodiscard]] auto now() -> TimePoint
+    {
+        return m_process.loop().now();
+    }
+
+    [[nodiscard]] auto gatewaySettings() -> fleet::GatewaySettings
+    {
+        const auto &settings = m_process.settings();
+        fleet::GatewaySettings result;
+        result.self = m_process.self();
+        result.name = settings.name;
+        result.domain = settings.domain;
+        result.callerAddress = settings.callers->text();
+        result.boot = randomNumber() | 1U;
+        result.seeds = m_process.seeds();
+        return result;
+    }
+
+    auto round(TimePoint at) -> TimePoint
+    {
+        m_gateway.tick(at);
+        for (auto &effect : m_gateway.takeEffects()) {
+            if (auto *out = std::get_if<fleet::PeerOut>(&effect))
+                m_process.send(out->to, fleet::encodeFrame(std::move(out->frame)));
+            else
+                m_face.carryOut(effect);
+        }
+        auto next = m_gateway.nextDeadline();
+        if (m_leaveBy) {
+            if (at >= *m_closeAt && !std::exchange(m_closed, true))
+                m_face.finishLeaving();
+            if (at >= *m_leaveBy || (m_closed && m_face.openRequests() == 0))
+                m_process.stop(0);
+            constexpr Duration kLeavingCheck = std::chrono::milliseconds(50);
+            next = std::min(next, at + kLeavingCheck);
+        }
+        return next;
+    }
+
+    auto beginLeaving() -> void
+    {
+        const auto &settings = m_process.settings();
+        m_gateway.leave(now());
+        m_face.beginLeaving();
+        m_leaveBy = now() + settings.grace - kExitMargin;
+        m_closeAt = std::min(*m_leaveBy - kExitMargin,
+                             now() + kLongestKeep * Face::directoryTtl(settings) + kDirectoryLag);
+    }
+
+    Process m_process;
+    fleet::Gateway m_gateway;
+    Face m_face;
+    std::optional<TimePoint> m_closeAt;
+    std::optional<TimePoint> m_leaveBy;
+    bool m_closed = false;
+};
+
+} // namespace heathergate::node
--- /dev/null
+++ b/libs/node/include/heathergate/node/process.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <heathergate/net/net.h>
+#include <heathergate/node/node_settings.h>
+#include <heathergate/telemetry/telemetry.h>
+
+#include <memory>
+
+namespace heathergate::node {
+
+/// What every program of the fleet has: the loop, the log on standard output, signals, settings
+/// that may change, links to other instances, and the metrics address.
+class Process
+{
+public:
+    struct Hooks
+    {
+        std::function<void(const InstanceId &from, std::string body)> onFrame;
+        std::function<void(const InstanceId &peer)> onPeerLost;
+        /// Called once when the process is asked to stop.
+        std::function<void()> onStop;
+        /// Called after the settings were read again.
+        std::function<void(const NodeSettings &)> onReload;
+        /// Called at the end of every round; returns when it wants to be called at the latest.
+        std::function<TimePoint(TimePoint now)> onRound;
+        /// Returns the metrics to be served.
+        std::function<telemetry::Metrics &()> metrics;
+    };
+
+    /// `file` is read again on SIGHUP and when it changes.
+    Process(NodeSettings settings, std::string file);
+    ~Process();
+    Process(const Process &) = delete;
+    auto operator=(const Process &) -> Process & = delete;
+
+    /// Opens the links and the metrics address. Fails with `Code::BadSetting`.
+    [[nodiscard]] auto open(Hooks hooks) -> Result<void>;
+    /// Runs until `stop`. Returns the exit status.
+    auto run() -> int;
+    /// Ends `run` with an exit status.
+    auto stop(int status) -> void;
+
+    /// Sends a frame to another instance; it may be lost.
+    auto send(const InstanceId &to, std::string body) -> void;
+
+    [[nodiscard]] auto loop() -> net::EventLoop &
+    {
+        return m_loop;
+    }
+    [[nodiscard]] auto log() -> telemetry::EventLog &
+    {
+        return m_log;
+    }
+    [[nodiscard]] auto settings() const -> const NodeSettings &
+    {
+        return m_settings;
+    }
+    /// Returns the identifier of this instance in the fleet.
+    [[nodiscard]] auto self() const -> InstanceId
+    {
+        return InstanceId(m_settings.host);
+    }
+    /// Returns the instances that the settings name as seeds.
+    [[nodiscard]] auto seeds() const -> std::vector<InstanceId>;
+
+private:
+    auto roundEnded() -> void;
+    auto reload(std::string_view why) -> void;
+    auto checkFile() -> void;
+    auto flushLog() -> void;
+    auto openMetrics() -> Result<void>;
+
+    NodeSettings m_settings;
+    std::string m_file;
+    std::string m_fileContent;
+    net::EventLoop m_loop;
+    telemetry::EventLog m_log;
+    Hooks m_hooks;
+    std::unique_ptr<net::PeerLinks> m_links;
+    std::unique_ptr<net::HttpServer> m_metricsServer;
+    std::string m_unwritten;
+    net::TimerId m_wake = 0;
+    TimePoint m_wakeAt = TimePoint::max();
+    bool m_flushPlanned = false;
+    bool m_stopSeen = false;
+    int m_status = 0;
+};
+
+/// Installs handlers for the signals that processes react to; called before any thread starts.
+auto installSignals() -> void;
+
+/// Returns a random number from the system's source.
+[[nodiscard]] auto randomNumber() -> std::uint64_t;
+
+} // namespace heathergate::node
--- /dev/null
+++ b/libs/node/src/process.cpp
@@ -0,0 +1,225 @@
+#include <heathergate/node/process.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstring>
+#include <ctime>
+#include <fstream>
+#include <poll.h>
+#include <sstream>
+#include <unistd.h>
+
+namespace heathergate::node {
+
+namespace {
+
+using telemetry::LogImportance;
+
+/// Lines gather this long before they are written together.
+constexpr Duration kFlushInterval = std::chrono::milliseconds(250);
+/// A pipe that is ready takes at least this many bytes without waiting.
+constexpr std::size_t kWriteBytes = 4096;
+/// Log bytes that may wait for a reader that does not read.
+constexpr std::size_t kMaxUnwritten = 256 * 1024;
+/// Interval at which the settings file is looked at.
+constexpr Duration kFileCheckInterval = std::chrono::seconds(2);
+/// Time for which a peer may leave a message unanswered.
+constexpr Duration kPeerSilence = std::chrono::milliseconds(1200);
+
+std::atomic<bool> stopRequested = false;
+std::atomic<bool> reloadRequested = false;
+
+auto onSignal(int number) -> void
+{
+    if (number == SIGHUP)
+        reloadRequested = true;
+    else
+        stopRequested = true;
+}
+
+auto wallOffset() -> Duration
+{
+    struct timespec wall = {};
+    ::clock_gettime(CLOCK_REALTIME, &wall);
+    const auto time = std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(wall.tv_sec) + std::chrono::nanoseconds(wall.tv_nsec));
+    return time - net::BootClock().now().time_since_epoch();
+}
+
+auto readWhole(const std::string &file) -> std::string
+{
+    std::ifstream stream(file);
+    std::ostringstream content;
+    content << stream.rdbuf();
+    return std::move(content).str();
+}
+
+} // namespace
+
+auto installSignals() -> void
+{
+    struct sigaction action = {};
+    action.sa_handler = &onSignal;
+    for (const auto number : {SIGTERM, SIGINT, SIGHUP})
+        sigaction(number, &action, nullptr);
+    action.sa_handler = SIG_IGN;
+    sigaction(SIGPIPE, &action, nullptr);
+}
+
+auto randomNumber() -> std::uint64_t
+{
+    std::uint64_t number = 0;
+    const auto bytes = secureRandom(sizeof(number));
+    std::memcpy(&number, bytes.data(), sizeof(number));
+    return number;
+}
+
+Process::Process(NodeSettings settings, std::string file)
+    : m_settings(std::move(settings))
+    , m_file(std::move(file))
+    , m_fileContent(readWhole(m_file))
+    , m_log(wallOffset())
+{
+}
+
+Process::~Process() = default;
+
+auto Process::seeds() const -> std::vector<InstanceId>
+{
+    std::vector<InstanceId> ids;
+    for (const auto &seed : m_settings.seeds)
+        ids.emplace_back(seed.host);
+    return ids;
+}
+
+auto Process::open(Hooks hooks) -> Result<void>
+{
+    m_hooks = std::move(hooks);
+    net::PeerIdentity identity{m_settings.cluster, self(), m_settings.secrets};
+    m_links = std::make_unique<net::PeerLinks>(
+        m_loop, std::move(identity), kPeerSilence,
+        net::PeerLinks::Handlers{[this](const InstanceId &from, std::string body) {
+                                     m_hooks.onFrame(from, std::move(body));
+                                 },
+                                 [this](const InstanceId &peer) { m_hooks.onPeerLost(peer); }});
+    if (auto listening = m_links->listen({m_settings.host, m_settings.peerPort}); !listening)
+        return listening;
+    if (auto opened = openMetrics(); !opened)
+        return opened;
+    m_loop.onRoundEnd([this] { roundEnded(); });
+    m_loop.at(m_loop.now() + kFileCheckInterval, [this] { checkFile(); });
+    return {};
+}
+
+auto Process::openMetrics() -> Result<void>
+{
+    if (m_settings.metricsPort == 0)
+        return {};
+    net::HttpServer::Handlers handlers;
+    handlers.onRequest = [this](net::ExchangeId exchange, const net::HttpRequest &request) {
+        net::HttpResponse response;
+        if (request.head.target == "/metrics") {
+            auto &metrics = m_hooks.metrics();
+            metrics.set("heathergate_log_lines_left_out", {}, static_cast<double>(m_log.leftOut()));
+            response.headers.add("Content-Type", "text/plain; version=0.0.4");
+            response.body = metrics.render();
+        } else {
+            response.status = 404;
+        }
+        m_metricsServer->respond(exchange, response);
+    };
+    handlers.onGone = [](net::ExchangeId) {};
+    m_metricsServer = std::make_unique<net::HttpServer>(m_loop, std::move(handlers));
+    return m_metricsServer->listen({m_settings.host, m_settings.metricsPort});
+}
+
+auto Process::send(const InstanceId &to, std::string body) -> void
+{
+    m_links->send(to, {to.value, m_settings.peerPort}, std::move(body));
+}
+
+auto Process::run() -> int
+{
+    m_log.add(m_loop.now(), LogImportance::Important, "process", "started",
+              {{"name", m_settings.name},
+               {"host", m_settings.host},
+               {"role", static_cast<int>(m_settings.role)},
+               {"domain", m_settings.domain.value},
+               {"bootstrap", m_settings.bootstrap ? 1 : 0}});
+    m_loop.run();
+    m_log.add(m_loop.now(), LogImportance::Important, "process", "stopped", {{"status", m_status}});
+    flushLog();
+    return m_status;
+}
+
+auto Process::stop(int status) -> void
+{
+    m_status = status;
+    m_loop.stop();
+}
+
+auto Process::roundEnded() -> void
+{
+    if (stopRequested && !std::exchange(m_stopSeen, true)) {
+        m_log.add(m_loop.now(), LogImportance::Important, "process", "stop_requested", {});
+        m_hooks.onStop();
+    }
+    if (reloadRequested.exchange(false))
+        reload("signal");
+    const auto wake = m_hooks.onRound(m_loop.now());
+    if (wake != m_wakeAt) {
+        m_loop.cancel(m_wake);
+        m_wakeAt = wake;
+        if (wake != TimePoint::max())
+            m_wake = m_loop.at(wake, [this] { m_wakeAt = TimePoint::max(); });
+    }
+    if (m_log.pendingBytes() > 0 && !std::exchange(m_flushPlanned, true))
+        m_loop.at(m_loop.now() + kFlushInterval, [this] { flushLog(); });
+}
+
+auto Process::checkFile() -> void
+{
+    m_loop.at(m_loop.now() + kFileCheckInterval, [this] { checkFile(); });
+    if (readWhole(m_file) != m_fileContent)
+        reload("file_changed");
+}
+
+auto Process::reload(std::string_view why) -> void
+{
+    auto content = readWhole(m_file);
+    const auto changed = content != m_fileContent;
+    m_fileContent = std::move(content);
+    auto settings = parseNodeSettings(m_fileContent, m_file);
+    m_log.add(m_loop.now(), LogImportance::Important, "process", "reload",
+              {{"why", why},
+               {"changed", changed ? 1 : 0},
+               {"outcome", settings ? std::string("in_force") : settings.error().detail}});
+    if (!settings)
+        return;
+    // Addresses, role and identity last as long as the process.
+    m_settings.seeds = settings->seeds;
+    m_settings.grace = settings->grace;
+    m_hooks.onReload(m_settings);
+}
+
+auto Process::flushLog() -> void
+{
+    m_flushPlanned = false;
+    m_unwritten += m_log.take(m_loop.now());
+    std::size_t written = 0;
+    while (written < m_unwritten.size()) {
+        struct pollfd standardOutput = {STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&standardOutput, 1, 0) != 1 || (standardOutput.revents & POLLOUT) == 0)
+            break;
+        const auto count = ::write(STDOUT_FILENO, m_unwritten.data() + written,
+                                   std::min(kWriteBytes, m_unwritten.size() - written));
+        if (count <= 0)
+            break;
+        written += static_cast<std::size_t>(count);
+    }
+    m_unwritten.erase(0, written);
+    if (m_unwritten.size() > kMaxUnwritten)
+        m_unwritten.clear(); // Nobody reads; the log must not fill the memory.
+}
+
+} // namespace heathergate::node
--- a/libs/daemon/include/heathergate/daemon/log_writer.h
+++ b/libs/storage/include/heathergate/storage/log_writer.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <heathergate/daemon/replica_host.h>
 #include <heathergate/log/log.h>
+#include <heathergate/storage/storage_step.h>
 
 #include <atomic>
 #include <functional>
 #include <thread>
 
-namespace heathergate::daemon {
+namespace heathergate::storage {
 
 /// Reads what the data folder holds of each group. Fails if a record or snapshot is damaged.
 template <log::FileLayer Files>
@@ -173,4 +173,4 @@
     std::thread m_thread;
 };
 
-} // namespace heathergate::daemon
+} // namespace heathergate::storage
--- a/libs/daemon/src/log_writer.cpp
+++ b/libs/storage/src/log_writer.cpp
@@ -1,14 +1,15 @@
-#include <heathergate/daemon/log_writer.h>
+#include <heathergate/storage/log_writer.h>
 
 #include <heathergate/telemetry/logging.h>
 
-namespace heathergate::daemon {
+namespace heathergate::storage {
 
 namespace {
 
 constexpr std::size_t kRingCapacity = 4096;
 constexpr std::size_t kMaxBatch = 512;
-constexpr Duration kIdleWait = std::chrono::milliseconds(200);
+/// A notification ends the wait earlier; the bound only limits the harm of a lost one.
+constexpr Duration kIdleWait = std::chrono::seconds(10);
 constexpr std::chrono::milliseconds kFullDiskPause{200};
 constexpr std::chrono::microseconds kFullRingPause{100};
 
@@ -101,4 +102,4 @@
     }
 }
 
-} // namespace heathergate::daemon
+} // namespace heathergate::storage
--- /dev/null
+++ b/libs/telemetry/include/heathergate/telemetry/event_log.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <heathergate/core/core.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace heathergate::telemetry {
+
+/// One field of a log line.
+struct LogField
+{
+    std::string_view name;
+    std::string value;
+
+    LogField(std::string_view fieldName, std::string text)
+        : name(fieldName)
+        , value(std::move(text))
+    {
+    }
+    LogField(std::string_view fieldName, std::string_view text)
+        : name(fieldName)
+        , value(text)
+    {
+    }
+    LogField(std::string_view fieldName, const char *text)
+        : name(fieldName)
+        , value(text)
+    {
+    }
+    LogField(std::string_view fieldName, std::integral auto number)
+        : name(fieldName)
+        , value(std::to_string(number))
+    {
+    }
+    /// Durations are written in milliseconds.
+    LogField(std::string_view fieldName, Duration duration);
+};
+
+/// How much a line matters when not all lines can be kept.
+enum class LogImportance {
+    /// A request went its usual way.
+    Routine,
+    /// A refusal, a failure, or a change of what the process believes.
+    Important,
+};
+
+/// Structured log lines in a buffer of bounded size: `ts=SECONDS part=PART event=EVENT NAME=VALUE
+/// ...`. Adding a line never waits. Lines beyond the bound are counted and left out, routine ones
+/// first; the count stands in the next batch. Keys of callers must not be passed in.
+class EventLog
+{
+public:
+    using Fields = std::initializer_list<LogField>;
+
+    /// Creates a log. `wallOffset` is added to the runtime's clock to get the time of day.
+    explicit EventLog(Duration wallOffset = {}, std::size_t maxBytes = kDefaultMaxBytes)
+        : m_wallOffset(wallOffset)
+        , m_maxBytes(maxBytes)
+    {
+    }
+
+    auto add(TimePoint now, LogImportance importance, std::string_view part, std::string_view event,
+             Fields fields) -> void;
+
+    /// Returns and forgets the lines added since the last call.
+    [[nodiscard]] auto take(TimePoint now) -> std::string;
+    [[nodiscard]] auto pendingBytes() const -> std::size_t
+    {
+        return m_lines.size();
+    }
+    /// Returns how many lines were left out since the start.
+    [[nodiscard]] auto leftOut() const -> std::uint64_t
+    {
+        return m_leftOutTotal;
+    }
+
+private:
+    /// Enough for some hundred lines between two flushes.
+    static constexpr std::size_t kDefaultMaxBytes = 64 * 1024;
+
+    auto append(TimePoint now, std::string_view part, std::string_view event, Fields fields)
+        -> void;
+
+    Duration m_wallOffset;
+    std::size_t m_maxBytes;
+    std::string m_lines;
+    std::uint64_t m_leftOut = 0;
+    std::uint64_t m_leftOutTotal = 0;
+};
+
+} // namespace heathergate::telemetry
