Refuse late beginners early, keep upstreams that lose one answer, find a new leader at once

Change: a silent answer counts like a failure; programs that have begun go first, new ones wait a fifth of their time at most; a limit's last part is kept for begun programs; a new leader announces itself; elections begin after 450 ms; nearer upstreams are preferred more strongly; the head's size is checked when it is complete.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -188,6 +188,8 @@
     auto handle(TimePoint now, const InstanceId &from, fb::RedirectT &message) -> void;
     auto sendPresence(TimePoint now) -> void;
     auto sendFeed(TimePoint now, const InstanceId &to) -> void;
+    /// Tells the gateways that it knows of who leads now.
+    auto introduceItself() -> void;
     auto pushFeeds(TimePoint now, bool gateways) -> void;
     auto redirect(const InstanceId &to) -> void;
     auto expireMembers(TimePoint now) -> void;
@@ -212,6 +214,7 @@
     auto handle(TimePoint now, const InstanceId &from, fb::CompletionT &message) -> void;
     [[nodiscard]] auto workOf(TimePoint now, const InstanceId &from,
                               const fb::AdmissionT &message) const -> Work;
+    [[nodiscard]] auto hasBegun(const fb::AdmissionT &message) const -> bool;
     auto reserveBudget(const fb::AdmissionT &message) -> void;
     auto settleBudget(const ProgramKey &program, RequestId request, std::int64_t used) -> void;
     auto reserved(TimePoint now, const ReserveOutcome &outcome) -> void;
--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -22,6 +22,8 @@
     TimePoint deadline{};
     /// The request has to be sent by then to be of use.
     TimePoint startBy{};
+    /// Whether its program has run before: what it has used so far would be wasted.
+    bool isBegun = true;
     /// When the program of the request should be finished.
     std::optional<TimePoint> finishBy;
     routing::PromptPrefixes prompt;
@@ -156,7 +158,8 @@
         -> bool;
     [[nodiscard]] static auto isAlive(TimePoint now, const Upstream &upstream) -> bool;
     [[nodiscard]] auto hasLivingUpstream(TimePoint now, const Work &work) const -> bool;
-    [[nodiscard]] auto expectedWait(const ServiceLoad &service, const Work &work) const -> Duration;
+    [[nodiscard]] auto expectedWait(TimePoint now, const ServiceLoad &service,
+                                    const Work &work) const -> Duration;
     auto place(TimePoint now, WorkState &state, const UpstreamId &upstream) -> void;
     auto reject(TimePoint now, RequestId request, RejectReason reason, Duration retryAfter) -> void;
     auto fillFreePlaces(TimePoint now, const ServiceId &service) -> void;
--- a/libs/fleet/include/heathergate/fleet/quota_table.h
+++ b/libs/fleet/include/heathergate/fleet/quota_table.h
@@ -24,9 +24,10 @@
     }
 
     /// Takes one request of a customer. Returns zero if it may go on, or else the time until the
-    /// next one may. A rate of 0 means no limit.
+    /// next one may. A rate of 0 means no limit. The last part of a burst is kept for programs that
+    /// have begun, so that a customer at its limit finishes some programs instead of none.
     [[nodiscard]] auto take(TimePoint now, const CustomerId &customer, double ratePerSecond,
-                            double burst) -> Duration;
+                            double burst, bool isBegun) -> Duration;
 
 private:
     struct Bucket
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -49,6 +49,7 @@
     work.rank = message.rank;
     work.deadline = now + Duration(message.timeLeft);
     work.startBy = now + Duration(std::min(message.timeLeft, message.patience));
+    work.isBegun = message.again || hasBegun(message);
     if (message.finishIn >= 0)
         work.finishBy = now + Duration(message.finishIn);
     work.prompt = prefixesOf(message);
@@ -61,6 +62,13 @@
     return work;
 }
 
+/// Whether the program of a request has run before. Its first turn reserves the first budget; what
+/// comes without one is a call of a program that is under way.
+auto ControlNode::hasBegun(const fb::AdmissionT &message) const -> bool
+{
+    return message.budget < 0 || m_state.budgets().contains(message.program);
+}
+
 auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::AdmissionT &message) -> void
 {
     if (!isLeader(now))
@@ -84,7 +92,7 @@
         const auto wait =
             customer == nullptr
                 ? Duration::zero()
-                : m_quotas->take(now, customer->id, customer->ratePerSecond, customer->burst);
+                : m_quotas->take(now, customer->id, customer->ratePerSecond, customer->burst, hasBegun(message));
         if (wait > Duration::zero()) {
             m_metrics.count("heathergate_quota_refusals_total", {{"customer", message.customer}});
             refuse(now, from, message.request, Code::RateExceeded, wait);
--- a/libs/fleet/src/control_members.cpp
+++ b/libs/fleet/src/control_members.cpp
@@ -127,6 +127,20 @@
     m_output.messages.push_back({to, PeerFrame(Message(std::move(feed)))});
 }
 
+auto ControlNode::introduceItself() -> void
+{
+    for (const auto &gateway : m_knownGateways) {
+        const auto endpoint = parseEndpoint(gateway.address);
+        if (!endpoint)
+            continue;
+        fb::FeedT feed;
+        feed.term = m_replica.term();
+        feed.configurationVersion = m_state.configuration().version();
+        feed.controls = controlList();
+        m_output.messages.push_back({InstanceId(endpoint->host), PeerFrame(Message(std::move(feed)))});
+    }
+}
+
 auto ControlNode::pushFeeds(TimePoint now, bool gateways) -> void
 {
     if (!isLeader(now))
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -146,6 +146,7 @@
     if (serves && !std::exchange(m_wasServing, serves)) {
         m_log.add(now, telemetry::LogImportance::Important, "control", "serving",
                   {{"term", m_replica.term()}, {"version", m_state.configuration().version()}});
+        introduceItself();
         m_nextPresence = now;
         m_nextMaintenance = now + kMaintenanceInterval;
     }
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -15,7 +15,7 @@
 constexpr double kBatchCostMs = 1.5;
 /// What a way to another failure domain and back costs, in milliseconds of the caller's time and
 /// of the link.
-constexpr double kCrossDomainMs = 3;
+constexpr double kCrossDomainMs = 6;
 /// Pause after an upstream declined a request for lack of room.
 constexpr Duration kFullPause = std::chrono::milliseconds(60);
 /// An upstream that could not be reached is tried again at its next heartbeat, or after this time.
@@ -23,6 +23,9 @@
 /// Weight of the newest sample in smoothed times.
 constexpr double kSmoothing = 0.1;
 constexpr double kMaxSlowness = 10;
+/// Part of a new program's time for which its first turn may wait. One that begins later could not
+/// finish in time, and would take the places of programs that can.
+constexpr int kNewPatiencePercent = 20;
 /// While requests wait, places that become free without a message are looked for this often.
 constexpr Duration kQueueCheck = std::chrono::milliseconds(20);
 /// Retry advice lies between these bounds, whatever the queue.
@@ -43,13 +46,14 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-/// Whether `left` takes a free place before `right`: the better rank first, then the program that
-/// has to be finished sooner. A program whose time is over lets the others go first.
+/// Whether `left` takes a free place before `right`: the better rank first, then programs that
+/// have begun, then the one that has to be finished sooner. A program whose time is over lets the
+/// others go first.
 auto goesBefore(TimePoint now, const Work &left, const Work &right) -> bool
 {
     const auto key = [now](const Work &work) {
         const auto due = work.finishBy.value_or(work.deadline);
-        return std::tuple(work.rank, due < now, due, work.id);
+        return std::tuple(work.rank, !work.isBegun, due < now, due, work.id);
     };
     return key(left) < key(right);
 }
@@ -114,6 +118,9 @@
     state.submittedAt = now;
     if (m_poison.isPoison(now, state.work.fingerprint))
         return reject(now, id, RejectReason::Poison, Duration::zero());
+    if (!state.work.isBegun && state.work.finishBy)
+        state.work.startBy =
+            std::min(state.work.startBy, now + (*state.work.finishBy - now) * kNewPatiencePercent / 100);
     auto &service = m_services[state.work.service];
     if (service.queue.empty()) {
         if (const auto *chosen = choose(now, state.work))
@@ -121,7 +128,7 @@
     }
     if (!hasLivingUpstream(now, state.work))
         return reject(now, id, RejectReason::NoUpstream, kNoUpstreamRetryAfter);
-    const auto wait = expectedWait(service, state.work);
+    const auto wait = expectedWait(now, service, state.work);
     if (now + wait > state.work.startBy)
         return reject(now, id, RejectReason::Overload, wait);
     service.queue.push_back(id);
@@ -180,10 +187,11 @@
     }
     case Ending::Failed:
     case Ending::Broken:
+    case Ending::Silent:
+        // One lost answer says little of an upstream that answers others meanwhile.
         upstream.health.failed(now);
         break;
     case Ending::Unreachable:
-    case Ending::Silent:
         upstream.lostAt = now;
         upstream.health.silent(now);
         break;
@@ -215,7 +223,7 @@
             const auto &work = m_work.at(request).work;
             if (now < std::min(work.startBy, work.deadline))
                 continue;
-            const auto wait = expectedWait(service, work);
+            const auto wait = expectedWait(now, service, work);
             removeFromQueue(request, id);
             reject(now, request, RejectReason::Overload, wait);
         }
@@ -298,13 +306,14 @@
            + running * (kBatchCostMs + prefill) + way;
 }
 
-auto Dispatcher::expectedWait(const ServiceLoad &service, const Work &work) const -> Duration
+auto Dispatcher::expectedWait(TimePoint now, const ServiceLoad &service, const Work &work) const
+    -> Duration
 {
     std::size_t slots = 0;
     for (const auto &id : service.upstreams)
         slots += static_cast<std::size_t>(std::max(m_upstreams.at(id).record.slots, 1));
     const auto ahead = std::count_if(service.queue.begin(), service.queue.end(), [&](RequestId id) {
-        return m_work.at(id).work.rank <= work.rank;
+        return goesBefore(now, m_work.at(id).work, work);
     });
     const auto rounds =
         static_cast<double>(ahead + 1) / static_cast<double>(std::max<std::size_t>(slots, 1));
--- a/libs/fleet/src/gateway.cpp
+++ b/libs/fleet/src/gateway.cpp
@@ -134,6 +134,7 @@
     m_log.add(
         now, LogImportance::Important, "fleet", "leader_found",
         {{"leader", m_link.leader()->value}, {"term", m_link.term()}, {"calls", m_calls.size()}});
+    m_link.hurry(now);
     // The new leader knows nothing of what runs or waits here.
     for (const auto &[at, completion] : m_recentCompletions)
         sendToLeader(Message(completion));
--- a/libs/fleet/src/quota_table.cpp
+++ b/libs/fleet/src/quota_table.cpp
@@ -9,6 +9,8 @@
 /// Part of the allowed overage that a leader change may use up; the rest covers requests that
 /// reach an upstream later than they were counted.
 constexpr double kStartShare = 0.5;
+/// Part of a burst that only programs that have begun may use.
+constexpr double kBegunShare = 0.3;
 
 auto seconds(Duration duration) -> double
 {
@@ -17,8 +19,8 @@
 
 } // namespace
 
-auto QuotaTable::take(TimePoint now, const CustomerId &customer, double ratePerSecond, double burst)
-    -> Duration
+auto QuotaTable::take(TimePoint now, const CustomerId &customer, double ratePerSecond,
+                      double burst, bool isBegun) -> Duration
 {
     if (ratePerSecond <= 0)
         return Duration::zero();
@@ -31,11 +33,12 @@
     const auto accrued = seconds(now - bucket.updatedAt) * ratePerSecond;
     bucket.level = std::min(bucket.burst, bucket.level + std::max(accrued, 0.0));
     bucket.updatedAt = now;
-    if (bucket.level >= 1) {
+    const auto needed = isBegun ? 1.0 : 1.0 + kBegunShare * bucket.burst;
+    if (bucket.level >= needed) {
         bucket.level -= 1;
         return Duration::zero();
     }
-    const auto missing = (1 - bucket.level) / ratePerSecond;
+    const auto missing = (needed - bucket.level) / ratePerSecond;
     return std::max(Duration(1),
                     std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing)));
 }
--- /dev/null
+++ b/libs/fleet/test/fleet_state_test.cpp
@@ -0,0 +1,156 @@
+#include <boost/test/unit_test.hpp>
+#include <heathergate/fleet/fleet_state.h>
+
+using namespace heathergate;
+using namespace heathergate::fleet;
+
+namespace {
+
+constexpr std::int64_t kBudget = 1000;
+
+struct State
+{
+    FleetState state;
+    GroupTime now{std::chrono::seconds(1)};
+
+    auto reserve(const std::string &program, RequestId request, std::int64_t most) -> bool
+    {
+        fb::CommandBatchT batch;
+        batch.commands.push_back(std::make_unique<fb::CommandT>());
+        auto &command = batch.commands.back()->reserve;
+        command = std::make_unique<fb::ReserveT>();
+        command->program = program;
+        command->request = request;
+        command->budget = kBudget;
+        command->most = most;
+        return state.apply(now, batch).at(0).granted;
+    }
+
+    auto settle(const std::string &program, RequestId request, std::int64_t used) -> void
+    {
+        fb::CommandBatchT batch;
+        batch.commands.push_back(std::make_unique<fb::CommandT>());
+        auto &command = batch.commands.back()->settle;
+        command = std::make_unique<fb::SettleT>();
+        command->program = program;
+        command->request = request;
+        command->used = used;
+        state.apply(now, batch);
+    }
+
+    auto setConfiguration(std::uint64_t version, const std::string &document) -> void
+    {
+        Configuration configuration;
+        configuration.version = version;
+        fb::CommandBatchT batch;
+        batch.commands.push_back(std::make_unique<fb::CommandT>());
+        auto &command = batch.commands.back()->configuration;
+        command = std::make_unique<fb::SetConfigurationT>();
+        command->version = version;
+        command->content = toBytes(encode(configuration));
+        command->document = toBytes(document);
+        state.apply(now, batch);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FleetStateTest, State)
+
+BOOST_AUTO_TEST_SUITE(WhenAProgramHasABudget)
+
+BOOST_AUTO_TEST_CASE(grantsTurnsUntilTheNextOneWouldNotFit)
+{
+    BOOST_TEST(reserve("c/p", 1, 400));
+    BOOST_TEST(reserve("c/p", 2, 400));
+    BOOST_TEST(!reserve("c/p", 3, 400));
+}
+
+BOOST_AUTO_TEST_CASE(countsAReservationInFullUntilItIsSettled)
+{
+    BOOST_TEST(reserve("c/p", 1, 900));
+    BOOST_TEST(!reserve("c/p", 2, 200));
+    settle("c/p", 1, 100);
+    BOOST_TEST(reserve("c/p", 3, 900));
+    BOOST_TEST(state.budgets().at("c/p").spent == 100);
+}
+
+BOOST_AUTO_TEST_CASE(countsARepeatedReservationOnce)
+{
+    BOOST_TEST(reserve("c/p", 1, 600));
+    BOOST_TEST(reserve("c/p", 1, 600));
+    BOOST_TEST(state.budgets().at("c/p").reserved() == 600);
+}
+
+BOOST_AUTO_TEST_CASE(countsARepeatedSettlementOnce)
+{
+    BOOST_TEST(reserve("c/p", 1, 600));
+    settle("c/p", 1, 600);
+    settle("c/p", 1, 600);
+    BOOST_TEST(state.budgets().at("c/p").spent == 600);
+}
+
+BOOST_AUTO_TEST_CASE(keepsProgramsOfDifferentCustomersApart)
+{
+    BOOST_TEST(reserve("c/p", 1, 900));
+    BOOST_TEST(reserve("d/p", 2, 900));
+}
+
+BOOST_AUTO_TEST_CASE(remembersASpentBudgetInASnapshot)
+{
+    BOOST_TEST(reserve("c/p", 1, 900));
+    settle("c/p", 1, 800);
+    BOOST_TEST(reserve("c/p", 2, 150));
+    State other;
+    BOOST_TEST_REQUIRE(other.state.restore(state.snapshot()).has_value());
+    BOOST_TEST(!other.reserve("c/p", 3, 100));
+    BOOST_TEST(other.state.budgets().at("c/p").spent == 800);
+}
+
+BOOST_AUTO_TEST_CASE(forgetsABudgetOnlyAfterItsRetention)
+{
+    BOOST_TEST(reserve("c/p", 1, 900));
+    now += std::chrono::seconds(59);
+    BOOST_TEST(reserve("c/other", 2, 1));
+    BOOST_TEST(state.budgets().contains("c/p"));
+    now += std::chrono::seconds(10);
+    BOOST_TEST(reserve("c/other", 3, 1));
+    BOOST_TEST(!state.budgets().contains("c/p"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenConfigurationsCome)
+
+BOOST_AUTO_TEST_CASE(keepsTheHighestVersionWhateverTheOrder)
+{
+    setConfiguration(7, "seven");
+    setConfiguration(5, "five");
+    BOOST_TEST(state.configuration().version() == 7U);
+    BOOST_TEST(state.configurationDocument() == "seven");
+}
+
+BOOST_AUTO_TEST_CASE(keepsTheFirstContentOfAVersion)
+{
+    setConfiguration(7, "first");
+    setConfiguration(7, "second");
+    BOOST_TEST(state.configurationDocument() == "first");
+}
+
+BOOST_AUTO_TEST_CASE(restoresItFromASnapshot)
+{
+    setConfiguration(9, "nine");
+    FleetState other;
+    BOOST_TEST_REQUIRE(other.restore(state.snapshot()).has_value());
+    BOOST_TEST(other.configuration().version() == 9U);
+    BOOST_TEST(other.configurationDocument() == "nine");
+}
+
+BOOST_AUTO_TEST_CASE(refusesASnapshotThatIsNotOne)
+{
+    BOOST_TEST(!state.restore("nothing of the kind").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/fleet/test/gateway_test.cpp
@@ -0,0 +1,431 @@
+#include <boost/test/unit_test.hpp>
+#include <heathergate/fleet/gateway.h>
+
+using namespace heathergate;
+using namespace heathergate::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+const InstanceId kLeader("10.0.0.1");
+
+/// A gateway whose leader and upstreams are played by the test.
+class Scene
+{
+public:
+    Scene()
+        : m_gateway(settings(), Random(5), m_log, m_now)
+    {
+    }
+
+    static auto settings() -> GatewaySettings
+    {
+        GatewaySettings result;
+        result.self = InstanceId("10.0.1.1");
+        result.name = "g";
+        result.domain = FailureDomainId("a");
+        result.callerAddress = "10.0.1.1:80";
+        result.boot = 1;
+        result.seeds = {kLeader};
+        return result;
+    }
+
+    static auto configuration(std::uint64_t version) -> Configuration
+    {
+        Configuration result;
+        result.version = version;
+        result.services.push_back({ServiceId("engines"), 10, EngineLimits{1000, 11}});
+        result.services.push_back({ServiceId("tools"), 10, std::nullopt});
+        const auto add = [&](const std::string &prefix, RouteKind kind, const std::string &service,
+                             int attempts, bool resumable) {
+            Route route;
+            route.name = prefix;
+            route.host = "h";
+            route.pathPrefix = prefix;
+            route.kind = kind;
+            route.timeout = 3s;
+            route.targetLatency = 250ms;
+            route.targets = {{ServiceId(service), 1}};
+            route.maxAttempts = attempts;
+            route.isResumable = resumable;
+            result.routes.push_back(route);
+        };
+        add("/stream/", RouteKind::Stream, "engines", 1, true);
+        add("/once/", RouteKind::Stream, "engines", 1, false);
+        add("/safe/", RouteKind::Safe, "tools", 2, false);
+        add("/unsafe/", RouteKind::Unsafe, "tools", 3, false);
+        result.customers.push_back({CustomerId("c"), {"key"}, 0, 0, 0});
+        return result;
+    }
+
+    auto feed(const InstanceId &from, std::uint64_t term, std::uint64_t version) -> void
+    {
+        fb::FeedT message;
+        message.term = term;
+        message.configurationVersion = version;
+        if (version != 0)
+            message.configuration = toBytes(encode(configuration(version)));
+        m_gateway.receive(m_now, from, PeerFrame(Message(message)));
+    }
+
+    auto request(const std::string &path, const std::optional<std::string> &key = "key")
+        -> CallerToken
+    {
+        CallerRequest item;
+        item.token = ++m_lastToken;
+        item.name = "r" + std::to_string(m_lastToken);
+        item.host = "h";
+        item.path = path;
+        item.key = key;
+        item.patience = 3s;
+        m_gateway.request(m_now, item);
+        return m_lastToken;
+    }
+
+    auto grant(const std::string &upstream) -> StartAttempt
+    {
+        const auto admissions = take<fb::AdmissionT>();
+        BOOST_TEST_REQUIRE(!admissions.empty());
+        fb::GrantT message;
+        message.request = admissions.back().request;
+        message.upstream = upstream;
+        message.address = "127.0.0.1:9000";
+        m_gateway.receive(m_now, kLeader, PeerFrame(Message(message)));
+        const auto started = take<StartAttempt>();
+        BOOST_TEST_REQUIRE(started.size() == 1U);
+        return started.front();
+    }
+
+    /// Returns and forgets the effects, or messages to the leader, of one type.
+    template <typename T>
+    auto take() -> std::vector<T>
+    {
+        for (auto &effect : m_gateway.takeEffects())
+            m_effects.push_back(std::move(effect));
+        std::vector<T> found;
+        std::vector<GatewayEffect> rest;
+        for (auto &effect : m_effects) {
+            const T *match = nullptr;
+            if constexpr (std::is_constructible_v<GatewayEffect, T>
+                          && !std::is_constructible_v<Message, T>) {
+                match = std::get_if<T>(&effect);
+            } else if (const auto *out = std::get_if<PeerOut>(&effect)) {
+                match = std::get_if<T>(&std::get<Message>(out->frame));
+            }
+            if (match != nullptr)
+                found.push_back(*match);
+            else
+                rest.push_back(std::move(effect));
+        }
+        m_effects = std::move(rest);
+        return found;
+    }
+
+    auto head(AttemptId attempt, int status = 200) -> void
+    {
+        m_gateway.attemptHead(m_now, attempt, {status, false, true});
+    }
+
+    auto text() -> std::string
+    {
+        std::string all;
+        for (const auto &data : take<PassData>())
+            all += data.bytes;
+        return all;
+    }
+
+    auto advance(Duration by) -> void
+    {
+        m_now += by;
+        m_gateway.tick(m_now);
+    }
+
+    TimePoint m_now{1h};
+    telemetry::EventLog m_log;
+    Gateway m_gateway;
+
+private:
+    std::vector<GatewayEffect> m_effects;
+    CallerToken m_lastToken = 0;
+};
+
+struct Connected : Scene
+{
+    Connected()
+    {
+        m_gateway.tick(m_now);
+        feed(kLeader, 1, 1);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GatewayTest)
+
+BOOST_FIXTURE_TEST_SUITE(BeforeAnyConfigurationIsKnown, Scene)
+
+BOOST_AUTO_TEST_CASE(refusesWithoutSayingThatARouteOrKeyIsUnknown)
+{
+    request("/safe/x");
+    const auto refused = take<RefuseCaller>();
+    BOOST_TEST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST((refused[0].error.code == Code::StaleConfiguration));
+    BOOST_TEST((refused[0].error.ran == Ran::No));
+    BOOST_TEST(!m_gateway.isReady(m_now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(WithAConfiguration, Connected)
+
+BOOST_AUTO_TEST_CASE(knowsRoutesAndKeys)
+{
+    request("/nothing/x");
+    request("/safe/x", "other");
+    request("/safe/x", std::nullopt);
+    const auto refused = take<RefuseCaller>();
+    BOOST_TEST_REQUIRE(refused.size() == 3U);
+    BOOST_TEST((refused[0].error.code == Code::UnknownRoute));
+    BOOST_TEST((refused[1].error.code == Code::UnknownKey));
+    BOOST_TEST((refused[2].error.code == Code::MissingKey));
+}
+
+BOOST_AUTO_TEST_CASE(neverGoesBackToAnOlderOne)
+{
+    feed(kLeader, 1, 9);
+    feed(kLeader, 1, 3);
+    BOOST_TEST(m_gateway.configuration().version() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(takesNothingFromALeaderThatHasBeenReplaced)
+{
+    feed(InstanceId("10.0.0.2"), 5, 9);
+    feed(kLeader, 1, 12);
+    BOOST_TEST(m_gateway.configuration().version() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(passesAWholeAnswerOn)
+{
+    request("/safe/x");
+    const auto attempt = grant("u").attempt;
+    head(attempt);
+    m_gateway.attemptData(m_now, attempt, "body");
+    BOOST_TEST(take<PassWhole>().empty());
+    m_gateway.attemptEnd(m_now, attempt, {true, true, true});
+    const auto passed = take<PassWhole>();
+    BOOST_TEST_REQUIRE(passed.size() == 1U);
+    BOOST_TEST(passed[0].body == "body");
+    BOOST_TEST(take<fb::CompletionT>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(stopsWorkOfACallerThatHasGone)
+{
+    const auto token = request("/safe/x");
+    const auto attempt = grant("u").attempt;
+    m_gateway.callerGone(m_now, token);
+    const auto cancelled = take<CancelAttempt>();
+    BOOST_TEST_REQUIRE(cancelled.size() == 1U);
+    BOOST_TEST(cancelled[0].attempt == attempt);
+    BOOST_TEST(m_gateway.openCalls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(tellsTheLeaderOfACallerThatLeftWhileItWaited)
+{
+    const auto token = request("/safe/x");
+    m_gateway.callerGone(m_now, token);
+    const auto completions = take<fb::CompletionT>();
+    BOOST_TEST_REQUIRE(completions.size() == 1U);
+    BOOST_TEST(completions[0].final);
+}
+
+BOOST_AUTO_TEST_CASE(answersAtTheTimeoutOfTheRoute)
+{
+    request("/unsafe/x");
+    static_cast<void>(grant("u"));
+    advance(3s);
+    const auto refused = take<RefuseCaller>();
+    BOOST_TEST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST((refused[0].error.code == Code::Timeout));
+    BOOST_TEST((refused[0].error.ran == Ran::Unknown));
+    BOOST_TEST(take<CancelAttempt>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(saysNotRunWhenNoPlaceWasGiven)
+{
+    request("/unsafe/x");
+    advance(3s);
+    const auto refused = take<RefuseCaller>();
+    BOOST_TEST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST((refused[0].error.ran == Ran::No));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(WhenAnUpstreamBreaksOff, Connected)
+
+BOOST_AUTO_TEST_CASE(neverRepeatsARequestThatMayHaveRun)
+{
+    request("/unsafe/x");
+    const auto attempt = grant("u").attempt;
+    m_gateway.attemptEnd(m_now, attempt, {false, true, true});
+    const auto refused = take<RefuseCaller>();
+    BOOST_TEST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST((refused[0].error.code == Code::UpstreamFailed));
+    BOOST_TEST(codeInfo(refused[0].error.code).httpStatus == 502);
+    BOOST_TEST(take<fb::AdmissionT>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(repeatsARequestOfWhichNoByteWasSent)
+{
+    request("/unsafe/x");
+    const auto attempt = grant("u").attempt;
+    m_gateway.attemptEnd(m_now, attempt, {false, false, false});
+    const auto again = take<fb::AdmissionT>();
+    BOOST_TEST_REQUIRE(again.size() == 1U);
+    BOOST_TEST(again[0].again);
+    BOOST_TEST(again[0].avoid == std::vector<std::string>{"u"});
+}
+
+BOOST_AUTO_TEST_CASE(repeatsARequestThatTheUpstreamDeclined)
+{
+    request("/unsafe/x");
+    const auto attempt = grant("u").attempt;
+    m_gateway.attemptHead(m_now, attempt, {503, true, false});
+    m_gateway.attemptEnd(m_now, attempt, {true, true, true});
+    BOOST_TEST(take<fb::AdmissionT>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(keepsASafeRequestWithinItsUpstreams)
+{
+    request("/safe/x");
+    m_gateway.attemptEnd(m_now, grant("u").attempt, {false, true, true});
+    BOOST_TEST(grant("v").upstream.value == "v");
+    m_gateway.attemptEnd(m_now, 2, {false, true, true});
+    // It has been at as many upstreams as its route allows; it stays where it was last.
+    const auto again = take<fb::AdmissionT>();
+    BOOST_TEST_REQUIRE(again.size() == 1U);
+    BOOST_TEST(again[0].stayAt == "v");
+}
+
+BOOST_AUTO_TEST_CASE(doesNotPassOnAnAnswerWithoutProof)
+{
+    request("/unsafe/x");
+    const auto attempt = grant("u").attempt;
+    m_gateway.attemptHead(m_now, attempt, {200, false, false});
+    m_gateway.attemptData(m_now, attempt, "garbage");
+    m_gateway.attemptEnd(m_now, attempt, {true, true, true});
+    BOOST_TEST(take<PassWhole>().empty());
+    BOOST_TEST(take<RefuseCaller>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(WhenAStreamBreaksOff, Connected)
+
+BOOST_AUTO_TEST_CASE(goesOnBehindTheLastWholeEventWithinTheSameAnswer)
+{
+    request("/stream/x");
+    const auto first = grant("u").attempt;
+    head(first);
+    m_gateway.attemptData(m_now, first, "id: 1\ndata: a\n\nid: 2\nda");
+    BOOST_TEST(text() == "id: 1\ndata: a\n\n");
+    BOOST_TEST(take<PassHead>().size() == 1U);
+    m_gateway.attemptEnd(m_now, first, {false, true, true});
+    const auto second = grant("u");
+    BOOST_TEST(second.resumeAfter.value() == 1U);
+    head(second.attempt);
+    m_gateway.attemptData(m_now, second.attempt, "id: 2\ndata: b\n\n");
+    m_gateway.attemptEnd(m_now, second.attempt, {true, true, true});
+    BOOST_TEST(text() == "id: 2\ndata: b\n\n");
+    BOOST_TEST(take<PassHead>().empty());
+    const auto ended = take<EndAnswer>();
+    BOOST_TEST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST(ended[0].complete);
+}
+
+BOOST_AUTO_TEST_CASE(neverPassesOnAnEventTwiceOrOutOfOrder)
+{
+    request("/stream/x");
+    const auto first = grant("u").attempt;
+    head(first);
+    m_gateway.attemptData(m_now, first, "id: 1\ndata: a\n\nid: 3\ndata: c\n\n");
+    BOOST_TEST(text() == "id: 1\ndata: a\n\n");
+    BOOST_TEST(take<CancelAttempt>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(endsVisiblyBrokenWhereItMayNotBeResumed)
+{
+    request("/once/x");
+    const auto first = grant("u").attempt;
+    head(first);
+    m_gateway.attemptData(m_now, first, "id: 1\ndata: a\n\n");
+    m_gateway.attemptEnd(m_now, first, {false, true, true});
+    const auto ended = take<EndAnswer>();
+    BOOST_TEST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST(!ended[0].complete);
+}
+
+BOOST_AUTO_TEST_CASE(goesOnAfterAnUpstreamThatFellSilent)
+{
+    request("/stream/x");
+    const auto first = grant("u").attempt;
+    head(first);
+    m_gateway.attemptData(m_now, first, "id: 1\ndata: a\n\n");
+    advance(600ms);
+    feed(kLeader, 1, 1);
+    advance(600ms);
+    const auto cancelled = take<CancelAttempt>();
+    BOOST_TEST_REQUIRE(cancelled.size() == 1U);
+    BOOST_TEST(take<fb::AdmissionT>().size() >= 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(WhenTheLeaderChanges, Connected)
+
+BOOST_AUTO_TEST_CASE(tellsTheNewOneWhatWaitsAndWhatRuns)
+{
+    request("/safe/waiting");
+    request("/safe/running");
+    static_cast<void>(grant("u"));
+    feed(InstanceId("10.0.0.2"), 2, 0);
+    const auto admissions = take<fb::AdmissionT>();
+    BOOST_TEST_REQUIRE(admissions.size() == 2U);
+    BOOST_TEST(admissions[0].runningAt == "");
+    BOOST_TEST(admissions[1].runningAt == "u");
+}
+
+BOOST_AUTO_TEST_CASE(tellsTheNewOneOfWorkThatHasJustEnded)
+{
+    CallerRequest item;
+    item.token = 99;
+    item.host = "h";
+    item.path = "/stream/x";
+    item.key = "key";
+    item.program = "p";
+    item.budget = 100;
+    item.mostTokens = 50;
+    m_gateway.request(m_now, item);
+    const auto attempt = grant("u").attempt;
+    head(attempt);
+    m_gateway.attemptData(m_now, attempt, "id: 1\ndata: a\n\n");
+    m_gateway.attemptEnd(m_now, attempt, {true, true, true});
+    BOOST_TEST(take<fb::CompletionT>().size() == 1U);
+    m_gateway.peerLost(m_now, kLeader);
+    feed(InstanceId("10.0.0.2"), 2, 0);
+    const auto again = take<fb::CompletionT>();
+    BOOST_TEST_REQUIRE(again.size() == 1U);
+    BOOST_TEST(again[0].tokens == 11);
+    BOOST_TEST(again[0].program == "c/p");
+}
+
+BOOST_AUTO_TEST_CASE(isNotReadyOnceItHearsFromNobody)
+{
+    BOOST_TEST(m_gateway.isReady(m_now));
+    advance(3s);
+    BOOST_TEST(!m_gateway.isReady(m_now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/net/include/heathergate/net/event_loop.h
+++ b/libs/net/include/heathergate/net/event_loop.h
@@ -58,6 +58,8 @@
 
     /// Runs until `stop`.
     auto run() -> void;
+    /// Runs until a time, or until `stop`.
+    auto runUntil(TimePoint time) -> void;
     auto stop() -> void;
 
     [[nodiscard]] auto reactor() -> ACE_Reactor &
@@ -66,6 +68,7 @@
     }
 
 private:
+    auto round(TimePoint wakeAt) -> void;
     auto runTimers() -> void;
     auto runPosted() -> void;
     auto runDeferred() -> void;
--- a/libs/net/include/heathergate/net/http_parser.h
+++ b/libs/net/include/heathergate/net/http_parser.h
@@ -121,7 +121,6 @@
     std::size_t m_maxHeadBytes;
     Handlers m_handlers;
     HttpHead m_head;
-    std::size_t m_headBytes = 0;
     bool m_inValue = false;
     bool m_begun = false;
     bool m_headDone = false;
--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -61,24 +61,32 @@
 
 auto EventLoop::run() -> void
 {
-    while (!m_stopping) {
-        m_now = m_clock.now();
-        runTimers();
-        runPosted();
-        runDeferred();
-        if (m_roundEnd)
-            m_roundEnd();
-        runDeferred();
-        if (m_stopping)
-            return;
-        auto wait = kLongestSleep;
-        if (!m_timers.empty())
-            wait = std::clamp(m_timers.begin()->first.first - m_clock.now(), Duration::zero(),
-                              kLongestSleep);
-        // Rounds up, so that the loop does not turn idly until the timer is due.
-        ACE_Time_Value timeout(0, static_cast<suseconds_t>(wait.count()));
-        m_reactor.handle_events(timeout);
-    }
+    while (!m_stopping)
+        round(TimePoint::max());
+}
+
+auto EventLoop::runUntil(TimePoint time) -> void
+{
+    while (!m_stopping && m_clock.now() < time)
+        round(time);
+}
+
+auto EventLoop::round(TimePoint wakeAt) -> void
+{
+    m_now = m_clock.now();
+    runTimers();
+    runPosted();
+    runDeferred();
+    if (m_roundEnd)
+        m_roundEnd();
+    runDeferred();
+    if (m_stopping)
+        return;
+    const auto next = m_timers.empty() ? wakeAt : std::min(wakeAt, m_timers.begin()->first.first);
+    const auto now = m_clock.now();
+    const auto wait = next <= now ? Duration::zero() : std::min(kLongestSleep, next - now);
+    ACE_Time_Value timeout(0, static_cast<suseconds_t>(wait.count()));
+    m_reactor.handle_events(timeout);
 }
 
 auto EventLoop::stop() -> void
--- a/libs/net/src/http_parser.cpp
+++ b/libs/net/src/http_parser.cpp
@@ -13,6 +13,16 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
+/// Returns the bytes that a head takes on the wire, but for its first line's fixed parts.
+auto headBytes(const HttpHead &head) -> std::size_t
+{
+    constexpr std::size_t kFieldFrame = 4; // Colon, space and line end.
+    auto bytes = head.target.size();
+    for (const auto &field : head.headers.fields())
+        bytes += field.name.size() + field.value.size() + kFieldFrame;
+    return bytes;
+}
+
 } // namespace
 
 auto equalNames(std::string_view left, std::string_view right) -> bool
@@ -56,7 +66,7 @@
     http_parser_init(&m_parser, m_type);
     m_parser.data = this;
     m_head = HttpHead();
-    m_headBytes = 0;
+    m_tooLong = false;
     m_inValue = false;
     m_begun = false;
     m_headDone = false;
@@ -125,6 +135,9 @@
     if (!m_head.chunked && m_parser.content_length != kUnknownLength)
         m_head.contentLength = m_parser.content_length;
     m_head.keepAlive = http_should_keep_alive(&m_parser) != 0;
+    m_tooLong = headBytes(m_head) > m_maxHeadBytes;
+    if (m_tooLong)
+        return -1;
     // A protocol switch would make the rest of the connection unreadable to both sides.
     if (m_parser.upgrade != 0)
         return -1;
@@ -134,13 +147,11 @@
 
 auto HttpParser::feed(std::string_view bytes) -> Result<std::size_t>
 {
-    const auto hadHead = m_headDone;
     const auto used = http_parser_execute(&m_parser, &settings(), bytes.data(), bytes.size());
-    if (!hadHead) {
-        m_headBytes += m_headDone ? 0 : used;
-        if (m_headBytes > m_maxHeadBytes)
-            return fail(Code::BodyTooLarge, "the head is too long");
-    }
+    if (!m_headDone && m_parser.nread > m_maxHeadBytes)
+        m_tooLong = true;
+    if (m_tooLong)
+        return fail(Code::BodyTooLarge, "the head is too long");
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
     if (error == HPE_PAUSED) {
         http_parser_pause(&m_parser, 0);
--- /dev/null
+++ b/libs/net/test/http_test.cpp
@@ -0,0 +1,343 @@
+#include <boost/test/unit_test.hpp>
+#include <heathergate/net/net.h>
+
+using namespace heathergate;
+using namespace heathergate::net;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server and raw connections to it on loopback, on one loop.
+struct Wire
+{
+    EventLoop loop;
+    std::vector<std::pair<ExchangeId, HttpRequest>> requests;
+    std::vector<ExchangeId> gone;
+    HttpServer server{loop,
+                      {[this](ExchangeId id, HttpRequest request) {
+                           requests.emplace_back(id, std::move(request));
+                       },
+                       [this](ExchangeId id) { gone.push_back(id); }}};
+    Endpoint address;
+    std::string received;
+    bool closed = false;
+    std::shared_ptr<TcpStream> stream;
+
+    Wire()
+    {
+        HttpLimits limits;
+        limits.maxHeadBytes = 2000;
+        limits.maxBodyBytes = 1000;
+        limits.headTimeout = 100ms;
+        limits.idleTimeout = 300ms;
+        server.setLimits(limits);
+        for (std::uint16_t port = 21'000; port < 22'000; ++port) {
+            address = {"127.0.0.1", port};
+            if (server.listen(address))
+                return;
+        }
+        BOOST_FAIL("no port is free");
+    }
+
+    ~Wire()
+    {
+        if (stream)
+            stream->close();
+    }
+
+    auto connect() -> void
+    {
+        stream = TcpStream::connect(loop, address, 1s);
+        stream->setHandlers({{},
+                             [this](std::string_view bytes) { received.append(bytes); },
+                             [this](bool) { closed = true; },
+                             {}});
+    }
+
+    auto send(const std::string &bytes) -> void
+    {
+        if (!stream)
+            connect();
+        stream->write(bytes);
+        runFor(60ms);
+    }
+
+    /// Runs the loop for a while; may be called many times.
+    auto runFor(Duration length) -> void
+    {
+        loop.runUntil(BootClock().now() + length);
+    }
+};
+
+const std::string kGet = "GET /a%2fb?q=%41&q=2 HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nx-a: 2\r\n\r\n";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HttpServerTest, Wire)
+
+BOOST_AUTO_TEST_SUITE(WhenARequestIsProper)
+
+BOOST_AUTO_TEST_CASE(keepsItsTargetAndHeadersAsTheyCame)
+{
+    send(kGet);
+    BOOST_TEST_REQUIRE(requests.size() == 1U);
+    const auto &head = requests[0].second.head;
+    BOOST_TEST(head.target == "/a%2fb?q=%41&q=2");
+    BOOST_TEST(head.headers.count("X-A") == 2U);
+    BOOST_TEST(head.headers.fields().at(2).name == "x-a");
+}
+
+BOOST_AUTO_TEST_CASE(readsBodiesByLengthAndByChunks)
+{
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+    server.respond(requests.at(0).first, {200, {}, "x"});
+    send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\n\r\n");
+    BOOST_TEST_REQUIRE(requests.size() == 2U);
+    BOOST_TEST(requests[0].second.body == "abc");
+    BOOST_TEST(requests[1].second.body == "de");
+}
+
+BOOST_AUTO_TEST_CASE(answersRequestsThatWereSentAheadInOrder)
+{
+    send(kGet + kGet);
+    BOOST_TEST(requests.size() == 1U);
+    server.respond(requests[0].first, {200, {}, "first"});
+    runFor(30ms);
+    BOOST_TEST(requests.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(noticesAtOnceThatTheCallerHasGone)
+{
+    send(kGet);
+    stream->close();
+    runFor(50ms);
+    BOOST_TEST(gone.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(cutsAnIncompleteStreamVisibly)
+{
+    send(kGet);
+    server.beginStream(requests[0].first, 200, {});
+    server.write(requests[0].first, "part");
+    server.endStream(requests[0].first, false);
+    runFor(30ms);
+    BOOST_TEST(received.find("part") != std::string::npos);
+    BOOST_TEST(received.find("0\r\n\r\n") == std::string::npos);
+    BOOST_TEST(closed);
+}
+
+BOOST_AUTO_TEST_CASE(closesAConnectionThatStaysIdle)
+{
+    send(kGet);
+    server.respond(requests[0].first, {200, {}, ""});
+    runFor(400ms);
+    BOOST_TEST(closed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenARequestIsNotProper)
+
+BOOST_AUTO_TEST_CASE(refusesALengthBesideChunks)
+{
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n");
+    BOOST_TEST(requests.empty());
+    BOOST_TEST(received.starts_with("HTTP/1.1 400 "));
+    BOOST_TEST(closed);
+}
+
+BOOST_AUTO_TEST_CASE(refusesTwoLengths)
+{
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 30\r\n\r\nabc");
+    BOOST_TEST(requests.empty());
+    BOOST_TEST(received.starts_with("HTTP/1.1 400 "));
+}
+
+BOOST_AUTO_TEST_CASE(refusesAnyBytesThatAreNoRequest)
+{
+    send("\x16\x03\x01 this is not a request\r\n\r\n");
+    BOOST_TEST(requests.empty());
+    BOOST_TEST(closed);
+}
+
+BOOST_AUTO_TEST_CASE(refusesAChangeOfProtocol)
+{
+    send("GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nGET /b HTTP/1.1\r\n");
+    BOOST_TEST(requests.empty());
+    BOOST_TEST(closed);
+}
+
+BOOST_AUTO_TEST_CASE(refusesALongHeadAndALongBody)
+{
+    send("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x') + "\r\n\r\n");
+    BOOST_TEST(requests.empty());
+    BOOST_TEST(received.starts_with("HTTP/1.1 431 "));
+    received.clear();
+    stream.reset();
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n");
+    BOOST_TEST(received.starts_with("HTTP/1.1 413 "));
+}
+
+BOOST_AUTO_TEST_CASE(endsAHeadThatTakesTooLong)
+{
+    send("GET / HTTP/1.1\r\nHos");
+    runFor(200ms);
+    BOOST_TEST(received.starts_with("HTTP/1.1 408 "));
+    BOOST_TEST(closed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// A client, and a server whose bytes the test writes by hand.
+struct RawServer
+{
+    EventLoop loop;
+    std::unique_ptr<TcpListener> listener;
+    Endpoint address;
+    std::vector<std::shared_ptr<TcpStream>> accepted;
+    std::string asked;
+    std::vector<HttpHead> heads;
+    std::string body;
+    std::vector<OutgoingEnd> ends;
+    HttpClient client{loop,
+                      {[this](OutgoingId, const HttpHead &head) { heads.push_back(head); },
+                       [this](OutgoingId, std::string_view bytes) { body.append(bytes); },
+                       [this](OutgoingId, OutgoingEnd end) { ends.push_back(end); }}};
+    OutgoingId lastId = 0;
+
+    RawServer()
+    {
+        for (std::uint16_t port = 22'000; port < 23'000; ++port) {
+            address = {"127.0.0.1", port};
+            auto opened = TcpListener::listen(loop, address, 1s, [this](auto stream) {
+                stream->setHandlers(
+                    {{}, [this](std::string_view bytes) { asked.append(bytes); }, {}, {}});
+                accepted.push_back(std::move(stream));
+            });
+            if (opened) {
+                listener = std::move(*opened);
+                return;
+            }
+        }
+        BOOST_FAIL("no port is free");
+    }
+
+    auto ask(const std::string &id = "7") -> void
+    {
+        OutgoingRequest request;
+        request.to = address;
+        request.bytes = "GET / HTTP/1.1\r\nId: " + id + "\r\n\r\n";
+        request.echoName = "Id";
+        request.echoValue = id;
+        request.maxIdle = 10s;
+        client.send(++lastId, std::move(request));
+        run();
+    }
+
+    auto answer(const std::string &bytes) -> void
+    {
+        accepted.back()->write(bytes);
+        run();
+    }
+
+    auto run() -> void
+    {
+        loop.runUntil(BootClock().now() + 40ms);
+    }
+};
+
+auto okFor(const std::string &id, const std::string &body) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size())
+           + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HttpClientTest, RawServer)
+
+BOOST_AUTO_TEST_CASE(keepsAConnectionForTheNextRequest)
+{
+    ask("1");
+    answer(okFor("1", "a"));
+    ask("2");
+    answer(okFor("2", "b"));
+    BOOST_TEST(accepted.size() == 1U);
+    BOOST_TEST(ends.size() == 2U);
+    BOOST_TEST(body == "ab");
+}
+
+BOOST_AUTO_TEST_CASE(skipsALateAnswerToAnotherRequest)
+{
+    ask("1");
+    answer(okFor("1", "a"));
+    ask("2");
+    answer(okFor("1", "late") + okFor("2", "b"));
+    BOOST_TEST(body == "ab");
+}
+
+BOOST_AUTO_TEST_CASE(dropsAConnectionWithBytesThatNobodyAskedFor)
+{
+    ask("1");
+    answer(okFor("1", "a") + "extra");
+    ask("2");
+    BOOST_TEST(accepted.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(saysThatAnAnswerThatBreaksOffIsNotComplete)
+{
+    ask();
+    answer("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 10\r\n\r\nabc");
+    accepted.back()->close();
+    run();
+    BOOST_TEST_REQUIRE(ends.size() == 1U);
+    BOOST_TEST(!ends[0].complete);
+    BOOST_TEST(ends[0].sent);
+}
+
+BOOST_AUTO_TEST_CASE(takesAnAnswerWithoutLengthAsWholeAtAnOrderlyEndOnly)
+{
+    ask();
+    answer("HTTP/1.1 200 OK\r\nId: 7\r\n\r\nabc");
+    BOOST_TEST(ends.empty());
+    accepted.back()->closeAfterWrite();
+    run();
+    BOOST_TEST_REQUIRE(ends.size() == 1U);
+    BOOST_TEST(ends[0].complete);
+}
+
+BOOST_AUTO_TEST_CASE(knowsThatNothingWasSentWhereNobodyListens)
+{
+    listener->close();
+    ask();
+    run();
+    BOOST_TEST_REQUIRE(ends.size() == 1U);
+    BOOST_TEST(!ends[0].connected);
+    BOOST_TEST(!ends[0].sent);
+}
+
+BOOST_AUTO_TEST_CASE(closesTheConnectionOfARequestThatIsGivenUp)
+{
+    ask();
+    bool closed = false;
+    accepted.back()->setHandlers({{}, {}, [&](bool) { closed = true; }, {}});
+    BOOST_TEST(client.cancel(lastId));
+    run();
+    BOOST_TEST(closed);
+    BOOST_TEST(ends.empty());
+}
+
+BOOST_AUTO_TEST_CASE(refusesBytesThatAreNoAnswer)
+{
+    ask();
+    answer("what is this\r\n\r\n");
+    BOOST_TEST_REQUIRE(ends.size() == 1U);
+    BOOST_TEST(!ends[0].complete);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/node/include/heathergate/node/control_program.h
+++ b/libs/node/include/heathergate/node/control_program.h
@@ -70,6 +70,9 @@
     }
 
 private:
+    /// Some heartbeats may be lost or late before an election begins.
+    static constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(110);
+    static constexpr Duration kElectionTimeout = std::chrono::milliseconds(450);
     /// Time for a successor to take over.
     static constexpr Duration kHandOver = std::chrono::milliseconds(900);
 
@@ -128,6 +131,8 @@
         result.domain = settings.domain;
         result.controlAddress = settings.control->text();
         result.boot = randomNumber() | 1U;
+        result.consensus.heartbeatInterval = kHeartbeatInterval;
+        result.consensus.electionTimeout = kElectionTimeout;
         result.seeds = m_process.seeds();
         result.faultTolerance = settings.faultTolerance;
         result.quotaWindow = settings.quotaWindow;
