--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -257,6 +257,7 @@
     TimePoint m_lastFeedAt{};
     TimePoint m_nextPresence{};
     TimePoint m_nextMaintenance{};
+    TimePoint m_directoryPushAt = TimePoint::max();
     std::map<consensus::ReplicaId, TimePoint> m_absentSince;
 
     Dispatcher m_dispatcher;
--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -136,10 +136,23 @@
         std::optional<TimePoint> lostAt;
     };
 
+    /// Place of a request in a queue: the better rank first, then programs that have begun, then
+    /// those whose time is not over, then the one that has to be finished sooner.
+    struct QueueKey
+    {
+        int rank = 0;
+        bool isNew = false;
+        bool isLate = false;
+        TimePoint due{};
+        RequestId request = 0;
+
+        auto operator<=>(const QueueKey &) const = default;
+    };
+
     struct ServiceLoad
     {
         std::vector<UpstreamId> upstreams;
-        std::vector<RequestId> queue;
+        std::set<QueueKey> queue;
         /// Smoothed time that a request of this service takes.
         double meanSeconds = 0.1;
     };
@@ -150,6 +163,7 @@
         TimePoint submittedAt{};
         std::optional<UpstreamId> at;
         Duration expected{};
+        QueueKey key;
     };
 
     [[nodiscard]] auto choose(TimePoint now, const Work &work) const -> const Upstream *;
@@ -158,18 +172,23 @@
         -> bool;
     [[nodiscard]] static auto isAlive(TimePoint now, const Upstream &upstream) -> bool;
     [[nodiscard]] auto hasLivingUpstream(TimePoint now, const Work &work) const -> bool;
-    [[nodiscard]] auto expectedWait(TimePoint now, const ServiceLoad &service,
-                                    const Work &work) const -> Duration;
+    [[nodiscard]] static auto keyOf(TimePoint now, const Work &work) -> QueueKey;
+    [[nodiscard]] auto hasFreePlace(TimePoint now, const ServiceLoad &service) const -> bool;
+    [[nodiscard]] auto expectedWait(const ServiceLoad &service, const QueueKey &key) const
+        -> Duration;
     auto place(TimePoint now, WorkState &state, const UpstreamId &upstream) -> void;
     auto reject(TimePoint now, RequestId request, RejectReason reason, Duration retryAfter) -> void;
     auto fillFreePlaces(TimePoint now, const ServiceId &service) -> void;
-    auto removeFromQueue(RequestId request, const ServiceId &service) -> void;
+    auto enqueue(WorkState &state) -> void;
+    auto removeFromQueue(const WorkState &state) -> void;
     auto learn(TimePoint now, Upstream &upstream, const WorkState &state, const WorkReport &report)
         -> void;
 
     std::map<UpstreamId, Upstream> m_upstreams;
     std::unordered_map<ServiceId, ServiceLoad> m_services;
     std::unordered_map<RequestId, WorkState> m_work;
+    /// When each waiting request has to be rejected.
+    std::set<std::pair<TimePoint, RequestId>> m_expiries;
     PoisonRegister m_poison;
     std::vector<Placement> m_placements;
     std::vector<Rejection> m_rejections;
--- a/libs/fleet/src/control_members.cpp
+++ b/libs/fleet/src/control_members.cpp
@@ -17,6 +17,9 @@
 /// Absence after which a voter may be replaced by another instance.
 constexpr Duration kVoterAbsence = std::chrono::milliseconds(2500);
 
+/// Time for which changes of the gateways gather before the directory learns of them.
+constexpr Duration kDirectoryDelay = std::chrono::milliseconds(40);
+
 auto isRole(const fb::PresenceT &presence, Role role) -> bool
 {
     return presence.role == static_cast<std::uint8_t>(role);
@@ -46,8 +49,9 @@
     member.presence = std::move(message);
     member.seenAt = now;
     sendFeed(now, from);
+    // Many instances turn at the same time; the directory learns of all of them together.
     if (turned || isNew)
-        pushFeeds(now, false);
+        m_directoryPushAt = std::min(m_directoryPushAt, now + kDirectoryDelay);
 }
 
 auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::FeedT &message) -> void
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -51,6 +51,10 @@
     if (!isLeader(now))
         return;
     m_dispatcher.tick(now);
+    if (now >= m_directoryPushAt) {
+        m_directoryPushAt = TimePoint::max();
+        pushFeeds(now, false);
+    }
     if (now < m_nextMaintenance)
         return;
     m_nextMaintenance = now + kMaintenanceInterval;
@@ -80,7 +84,7 @@
 {
     auto next = std::min(m_replica.nextDeadline(), m_nextPresence);
     if (m_wasServing) {
-        next = std::min(next, m_nextMaintenance);
+        next = std::min({next, m_nextMaintenance, m_directoryPushAt});
         next = std::min(next, m_dispatcher.nextDeadline(now));
     }
     if (m_oldestCommand && m_inFlight.empty())
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -28,6 +28,8 @@
 constexpr int kNewPatiencePercent = 20;
 /// While requests wait, places that become free without a message are looked for this often.
 constexpr Duration kQueueCheck = std::chrono::milliseconds(20);
+/// Waiting requests that a free place is offered to before the rest has to wait for the next one.
+constexpr int kMaxPassedOver = 8;
 /// Retry advice lies between these bounds, whatever the queue.
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMostRetryAfter = std::chrono::seconds(2);
@@ -46,18 +48,6 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-/// Whether `left` takes a free place before `right`: the better rank first, then programs that
-/// have begun, then the one that has to be finished sooner. A program whose time is over lets the
-/// others go first.
-auto goesBefore(TimePoint now, const Work &left, const Work &right) -> bool
-{
-    const auto key = [now](const Work &work) {
-        const auto due = work.finishBy.value_or(work.deadline);
-        return std::tuple(work.rank, !work.isBegun, due < now, due, work.id);
-    };
-    return key(left) < key(right);
-}
-
 } // namespace
 
 auto Dispatcher::setUpstreams(TimePoint now, const std::map<UpstreamId, UpstreamRecord> &records,
@@ -128,10 +118,11 @@
     }
     if (!hasLivingUpstream(now, state.work))
         return reject(now, id, RejectReason::NoUpstream, kNoUpstreamRetryAfter);
-    const auto wait = expectedWait(now, service, state.work);
+    state.key = keyOf(now, state.work);
+    const auto wait = expectedWait(service, state.key);
     if (now + wait > state.work.startBy)
         return reject(now, id, RejectReason::Overload, wait);
-    service.queue.push_back(id);
+    enqueue(state);
     fillFreePlaces(now, state.work.service);
 }
 
@@ -154,7 +145,7 @@
     m_work.erase(found);
     const auto service = state.work.service;
     if (!state.at) {
-        removeFromQueue(request, service);
+        removeFromQueue(state);
         return;
     }
     const auto upstream = m_upstreams.find(*state.at);
@@ -216,17 +207,14 @@
 
 auto Dispatcher::tick(TimePoint now) -> void
 {
-    for (auto &[id, service] : m_services) {
+    for (auto &[id, service] : m_services)
         fillFreePlaces(now, id);
-        const auto queue = service.queue;
-        for (const auto request : queue) {
-            const auto &work = m_work.at(request).work;
-            if (now < std::min(work.startBy, work.deadline))
-                continue;
-            const auto wait = expectedWait(now, service, work);
-            removeFromQueue(request, id);
-            reject(now, request, RejectReason::Overload, wait);
-        }
+    while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+        const auto request = m_expiries.begin()->second;
+        const auto &state = m_work.at(request);
+        const auto wait = expectedWait(m_services[state.work.service], state.key);
+        removeFromQueue(state);
+        reject(now, request, RejectReason::Overload, wait);
     }
 }
 
@@ -306,20 +294,44 @@
            + running * (kBatchCostMs + prefill) + way;
 }
 
-auto Dispatcher::expectedWait(TimePoint now, const ServiceLoad &service, const Work &work) const
-    -> Duration
+auto Dispatcher::keyOf(TimePoint now, const Work &work) -> QueueKey
+{
+    const auto due = work.finishBy.value_or(work.deadline);
+    return {work.rank, !work.isBegun, due < now, due, work.id};
+}
+
+auto Dispatcher::hasFreePlace(TimePoint now, const ServiceLoad &service) const -> bool
+{
+    static const Work kAnyWork;
+    return std::any_of(service.upstreams.begin(), service.upstreams.end(),
+                       [&](const UpstreamId &id) {
+                           return isAvailable(now, m_upstreams.at(id), kAnyWork);
+                       });
+}
+
+auto Dispatcher::expectedWait(const ServiceLoad &service, const QueueKey &key) const -> Duration
 {
     std::size_t slots = 0;
     for (const auto &id : service.upstreams)
         slots += static_cast<std::size_t>(std::max(m_upstreams.at(id).record.slots, 1));
-    const auto ahead = std::count_if(service.queue.begin(), service.queue.end(), [&](RequestId id) {
-        return goesBefore(now, m_work.at(id).work, work);
-    });
+    const auto ahead = std::distance(service.queue.begin(), service.queue.lower_bound(key));
     const auto rounds =
         static_cast<double>(ahead + 1) / static_cast<double>(std::max<std::size_t>(slots, 1));
     return fromSeconds(rounds * service.meanSeconds);
 }
 
+auto Dispatcher::enqueue(WorkState &state) -> void
+{
+    m_services[state.work.service].queue.insert(state.key);
+    m_expiries.emplace(std::min(state.work.startBy, state.work.deadline), state.work.id);
+}
+
+auto Dispatcher::removeFromQueue(const WorkState &state) -> void
+{
+    m_services[state.work.service].queue.erase(state.key);
+    m_expiries.erase({std::min(state.work.startBy, state.work.deadline), state.work.id});
+}
+
 auto Dispatcher::place(TimePoint now, WorkState &state, const UpstreamId &id) -> void
 {
     auto &upstream = m_upstreams.at(id);
@@ -360,26 +372,20 @@
 auto Dispatcher::fillFreePlaces(TimePoint now, const ServiceId &id) -> void
 {
     auto &service = m_services[id];
-    if (service.queue.empty())
-        return;
-    std::sort(service.queue.begin(), service.queue.end(), [&](RequestId left, RequestId right) {
-        return goesBefore(now, m_work.at(left).work, m_work.at(right).work);
-    });
-    std::vector<RequestId> kept;
-    for (const auto request : service.queue) {
-        auto &state = m_work.at(request);
+    auto next = service.queue.begin();
+    int passedOver = 0;
+    while (next != service.queue.end() && passedOver < kMaxPassedOver
+           && hasFreePlace(now, service)) {
+        auto &state = m_work.at(next->request);
+        ++next;
         const auto *chosen = choose(now, state.work);
-        if (chosen == nullptr)
-            kept.push_back(request);
-        else
-            place(now, state, chosen->record.id);
+        if (chosen == nullptr) {
+            ++passedOver; // It avoids the upstreams that have a place.
+            continue;
+        }
+        removeFromQueue(state);
+        place(now, state, chosen->record.id);
     }
-    service.queue = std::move(kept);
-}
-
-auto Dispatcher::removeFromQueue(RequestId request, const ServiceId &service) -> void
-{
-    std::erase(m_services[service].queue, request);
 }
 
 auto Dispatcher::running() const -> std::size_t
