--- /dev/null
+++ b/apps/heathergate/explain_command.cpp
@@ -0,0 +1,186 @@
+#include "options.h"
+
+#include <heathergate/core/core.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <set>
+
+namespace heathergate::app {
+
+namespace po = boost::program_options;
+
+namespace {
+
+/// A log line with its fields.
+struct Line
+{
+    double time = 0;
+    std::string file;
+    std::string text;
+    std::map<std::string, std::string> fields;
+
+    [[nodiscard]] auto value(const std::string &name) const -> std::string
+    {
+        const auto found = fields.find(name);
+        return found == fields.end() ? std::string() : found->second;
+    }
+};
+
+/// Reads `NAME=VALUE` pairs; values in quotes may hold spaces.
+auto readFields(const std::string &text) -> std::map<std::string, std::string>
+{
+    std::map<std::string, std::string> fields;
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const auto equals = text.find('=', at);
+        if (equals == std::string::npos)
+            break;
+        const auto space = text.rfind(' ', equals);
+        const auto start = space == std::string::npos || space < at ? at : space + 1;
+        std::string value;
+        auto next = equals + 1;
+        if (next < text.size() && text[next] == '"') {
+            for (++next; next < text.size() && text[next] != '"'; ++next) {
+                if (text[next] == '\\' && next + 1 < text.size())
+                    ++next;
+                value.push_back(text[next]);
+            }
+            ++next;
+        } else {
+            const auto end = std::min(text.find(' ', next), text.size());
+            value = text.substr(next, end - next);
+            next = end;
+        }
+        fields[text.substr(start, equals - start)] = value;
+        at = next;
+    }
+    return fields;
+}
+
+auto readLines(std::istream &in, const std::string &file, std::vector<Line> &lines) -> void
+{
+    for (std::string text; std::getline(in, text);) {
+        // Collectors put the instance's name or their own time before the line.
+        const auto start = text.find("ts=");
+        if (start == std::string::npos)
+            continue;
+        Line line;
+        line.file = start == 0 ? file : text.substr(0, start);
+        line.text = text.substr(start);
+        line.fields = readFields(line.text);
+        line.time = std::strtod(line.value("ts").c_str(), nullptr);
+        lines.push_back(std::move(line));
+    }
+}
+
+/// Returns the lines of a request or program, and those of the leader about its admissions.
+auto linesOf(const std::string &id, const std::vector<Line> &lines) -> std::vector<Line>
+{
+    std::set<std::string> requests{id};
+    std::set<std::string> admissions;
+    for (const auto &line : lines) {
+        if (line.value("program") == id)
+            requests.insert(line.value("request"));
+    }
+    for (const auto &line : lines) {
+        if (requests.contains(line.value("request")) && !line.value("admission").empty())
+            admissions.insert(line.value("admission"));
+    }
+    std::vector<Line> found;
+    for (const auto &line : lines) {
+        const auto admission = line.value("admission");
+        if ((!line.value("request").empty() && requests.contains(line.value("request")))
+            || (!admission.empty() && admissions.contains(admission)))
+            found.push_back(line);
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [](const Line &left, const Line &right) { return left.time < right.time; });
+    return found;
+}
+
+auto endingText(const std::string &ending) -> std::string
+{
+    static const std::map<std::string, std::string> kTexts{
+        {"1", "answered with a failure of its own"},
+        {"2", "broke off its answer"},
+        {"3", "could not be reached, so nothing was sent"},
+        {"4", "sent nothing for too long"},
+        {"5", "declined to run it"},
+        {"6", "was given up because the time was over or the caller had gone"},
+    };
+    const auto found = kTexts.find(ending);
+    return found == kTexts.end() ? "ended" : found->second;
+}
+
+auto codeText(const std::string &code) -> std::string
+{
+    const auto &info = codeInfo(static_cast<Code>(std::strtol(code.c_str(), nullptr, 10)));
+    return std::string(info.name) + " (" + code + "): " + std::string(info.meaning);
+}
+
+auto meaning(const Line &line) -> std::string
+{
+    const auto event = line.value("event");
+    if (event == "sent")
+        return "Try " + line.value("try") + " went to upstream " + line.value("upstream")
+               + " after " + line.value("waited_ms") + " ms; " + line.value("left_ms")
+               + " ms were left.";
+    if (event == "attempt_failed")
+        return "Upstream " + line.value("upstream") + " " + endingText(line.value("ending"))
+               + ", after " + line.value("after_ms") + " ms"
+               + (line.value("sent") == "1" ? "; it may have run." : "; it has not run.");
+    if (event == "refused" && line.value("part") == "admission")
+        return "The leader gave no place: " + codeText(line.value("code")) + " Running "
+               + line.value("running") + ", queued " + line.value("queued") + ".";
+    if (event == "refused")
+        return "The caller was refused: " + codeText(line.value("code"))
+               + " Ran: " + line.value("ran") + ".";
+    if (event == "ended")
+        return "It ended as '" + line.value("outcome") + "' after " + line.value("total_ms")
+               + " ms and " + line.value("tries") + " tries.";
+    if (event == "event_out_of_order")
+        return "Event " + line.value("event")
+               + " did not follow the last one; the stream went on "
+                 "elsewhere.";
+    return event + ".";
+}
+
+} // namespace
+
+auto runExplain(const Arguments &arguments) -> int
+{
+    OptionParser parser("explain ID [FILE...]",
+                        "Collects the lines of a request or program from the logs of several "
+                        "instances, in order of time, and says what they mean. Without FILE, reads "
+                        "standard input.");
+    parser.add()("id", po::value<std::string>()->required(), "Identifier of a request or program")(
+        "file", po::value<std::vector<std::string>>(), "Log file");
+    parser.positional("id", 1);
+    parser.positional("file", -1);
+    const auto values = parser.parse(arguments);
+    if (!values)
+        return parser.status();
+    std::vector<Line> lines;
+    if (values->count("file") == 0)
+        readLines(std::cin, "", lines);
+    else
+        for (const auto &file : (*values)["file"].as<std::vector<std::string>>()) {
+            std::ifstream stream(file);
+            if (!stream)
+                return report("cannot read " + file);
+            readLines(stream, file, lines);
+        }
+    const auto id = (*values)["id"].as<std::string>();
+    const auto found = linesOf(id, lines);
+    if (found.empty())
+        return report("no line tells of " + id);
+    for (const auto &line : found)
+        std::cout << line.file << (line.file.empty() ? "" : " ") << line.text << "\n    "
+                  << meaning(line) << '\n';
+    return 0;
+}
+
+} // namespace heathergate::app
--- a/apps/heathergate/main.cpp
+++ b/apps/heathergate/main.cpp
@@ -20,6 +20,7 @@
     static const std::map<std::string, Command> kCommands{
         {"serve", {&runServe, "runs an instance"}},
         {"join", {&runJoin, "runs an instance of a fleet with a leader that places requests"}},
+        {"explain", {&runExplain, "collects what the logs tell of a request or program"}},
         {"init", {&runInit, "prepares the data folder of a disk instance of a new fleet"}},
         {"check", {&runCheck, "checks a settings file"}},
         {"table", {&runTable, "reads and edits the table of weights and limits"}},
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -219,6 +219,7 @@
     m_byAttempt[call.attempt] = call.request.token;
     m_log.add(now, LogImportance::Routine, "calls", "sent",
               {{"request", call.request.name},
+               {"admission", call.admission},
                {"program", call.request.program},
                {"customer", call.customer.value},
                {"route", call.route},
@@ -439,6 +440,9 @@
     const auto token = call.request.token;
     m_log.add(now, LogImportance::Important, "calls", "refused",
               {{"request", call.request.name},
+               {"admission", call.admission},
+               {"program", call.request.program},
+               {"customer", call.customer.value},
                {"code", static_cast<int>(error.code)},
                {"detail", error.detail},
                {"ran", ranText(error.ran)},
