--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -14,8 +14,9 @@
 /// What one more request in a batch costs each request of it, in milliseconds.
 constexpr double kBatchCostMs = 1.5;
 /// What a way to another failure domain and back costs, in milliseconds of the caller's time and
-/// of the link.
-constexpr double kCrossDomainMs = 6;
+/// of the link; a turn carries its whole prompt, a call of a service little.
+constexpr double kCrossDomainTurnMs = 12;
+constexpr double kCrossDomainCallMs = 6;
 /// Pause after an upstream declined a request for lack of room.
 constexpr Duration kFullPause = std::chrono::milliseconds(60);
 /// An upstream that could not be reached is tried again at its next heartbeat, or after this time.
@@ -281,7 +282,8 @@
 auto Dispatcher::cost(const Upstream &upstream, const Work &work) const -> double
 {
     const auto running = static_cast<double>(upstream.running.size());
-    const auto way = upstream.record.domain == work.domain ? 0.0 : kCrossDomainMs;
+    const auto far = upstream.isEngine ? kCrossDomainTurnMs : kCrossDomainCallMs;
+    const auto way = upstream.record.domain == work.domain ? 0.0 : far;
     if (!upstream.isEngine) {
         const auto mean = m_services.at(work.service).meanSeconds * 1000;
         const auto fill = running / std::max(upstream.record.slots, 1);
--- a/libs/fleet/src/quota_table.cpp
+++ b/libs/fleet/src/quota_table.cpp
@@ -10,7 +10,7 @@
 /// reach an upstream later than they were counted.
 constexpr double kStartShare = 0.5;
 /// Part of a burst that only programs that have begun may use.
-constexpr double kBegunShare = 0.3;
+constexpr double kBegunShare = 0.6;
 
 auto seconds(Duration duration) -> double
 {
--- a/libs/node/include/heathergate/node/control_program.h
+++ b/libs/node/include/heathergate/node/control_program.h
@@ -71,8 +71,8 @@
 
 private:
     /// Some heartbeats may be lost or late before an election begins.
-    static constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(110);
-    static constexpr Duration kElectionTimeout = std::chrono::milliseconds(450);
+    static constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(80);
+    static constexpr Duration kElectionTimeout = std::chrono::milliseconds(330);
     /// Time for a successor to take over.
     static constexpr Duration kHandOver = std::chrono::milliseconds(900);
 
