--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -215,6 +215,8 @@
     [[nodiscard]] auto workOf(TimePoint now, const InstanceId &from,
                               const fb::AdmissionT &message) const -> Work;
     [[nodiscard]] auto hasBegun(const fb::AdmissionT &message) const -> bool;
+    auto admit(TimePoint now, const InstanceId &from, const fb::AdmissionT &message) -> void;
+    auto admitDelayed(TimePoint now) -> void;
     auto reserveBudget(const fb::AdmissionT &message) -> void;
     auto settleBudget(const ProgramKey &program, RequestId request, std::int64_t used) -> void;
     auto reserved(TimePoint now, const ReserveOutcome &outcome) -> void;
@@ -263,6 +265,8 @@
     Dispatcher m_dispatcher;
     std::unique_ptr<QuotaTable> m_quotas;
     std::unordered_map<RequestId, AdmissionState> m_admissions;
+    /// Admissions that wait for a token of their customer's limit.
+    std::multimap<TimePoint, std::pair<InstanceId, fb::AdmissionT>> m_delayed;
     std::map<UpstreamId, std::uint64_t> m_lastSequence;
     std::uint64_t m_seenUpstreamChanges = 0;
 
--- a/libs/fleet/include/heathergate/fleet/quota_table.h
+++ b/libs/fleet/include/heathergate/fleet/quota_table.h
@@ -6,6 +6,14 @@
 
 namespace heathergate::fleet {
 
+/// What the limit says to a request.
+struct QuotaDecision
+{
+    bool isAdmitted = true;
+    /// Time until an admitted request may go on, or until a refused one may come again.
+    Duration wait{};
+};
+
 /// Rate and burst of each customer over the whole fleet, kept by the leader alone.
 ///
 /// A new leader does not know what its predecessor has let through. It starts each bucket with
@@ -23,11 +31,11 @@
     {
     }
 
-    /// Takes one request of a customer. Returns zero if it may go on, or else the time until the
-    /// next one may. A rate of 0 means no limit. The last part of a burst is kept for programs that
-    /// have begun, so that a customer at its limit finishes some programs instead of none.
+    /// Decides about one request of a customer. A rate of 0 means no limit. The last part of a
+    /// burst is kept for programs that have begun, and their requests may wait a little for the
+    /// next token, so that a customer at its limit finishes some programs instead of none.
     [[nodiscard]] auto take(TimePoint now, const CustomerId &customer, double ratePerSecond,
-                            double burst, bool isBegun) -> Duration;
+                            double burst, bool isBegun) -> QuotaDecision;
 
 private:
     struct Bucket
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -87,19 +87,37 @@
         m_dispatcher.adopt(now, workOf(now, from, message), UpstreamId(message.runningAt));
         return;
     }
-    if (isNew && !message.again && m_quotas) {
-        const auto *customer = m_state.configuration().customer(CustomerId(message.customer));
-        const auto wait =
-            customer == nullptr
-                ? Duration::zero()
-                : m_quotas->take(now, customer->id, customer->ratePerSecond, customer->burst, hasBegun(message));
-        if (wait > Duration::zero()) {
-            m_metrics.count("heathergate_quota_refusals_total", {{"customer", message.customer}});
-            refuse(now, from, message.request, Code::RateExceeded, wait);
-            m_admissions.erase(message.request);
-            return;
-        }
+    if (!isNew || message.again || !m_quotas)
+        return admit(now, from, message);
+    const auto *customer = m_state.configuration().customer(CustomerId(message.customer));
+    QuotaDecision decision;
+    if (customer != nullptr)
+        decision = m_quotas->take(now, customer->id, customer->ratePerSecond, customer->burst,
+                                  hasBegun(message));
+    if (!decision.isAdmitted) {
+        m_metrics.count("heathergate_quota_refusals_total", {{"customer", message.customer}});
+        refuse(now, from, message.request, Code::RateExceeded, decision.wait);
+        m_admissions.erase(message.request);
+    } else if (decision.wait > Duration::zero()) {
+        message.timeLeft -= decision.wait.count();
+        message.patience -= decision.wait.count();
+        message.finishIn =
+            message.finishIn < 0
+                ? -1
+                : std::max<std::int64_t>(message.finishIn - decision.wait.count(), 0);
+        m_delayed.emplace(now + decision.wait, std::pair(from, std::move(message)));
+    } else {
+        admit(now, from, message);
     }
+}
+
+auto ControlNode::admit(TimePoint now, const InstanceId &from, const fb::AdmissionT &message)
+    -> void
+{
+    const auto found = m_admissions.find(message.request);
+    if (found == m_admissions.end())
+        return; // It was given up while it waited for a token.
+    auto &state = found->second;
     if (message.again) {
         state.ranBefore = true;
         state.reserved = true;
@@ -110,6 +128,15 @@
     m_dispatcher.submit(now, workOf(now, from, message));
 }
 
+auto ControlNode::admitDelayed(TimePoint now) -> void
+{
+    while (!m_delayed.empty() && m_delayed.begin()->first <= now) {
+        const auto [from, message] = std::move(m_delayed.begin()->second);
+        m_delayed.erase(m_delayed.begin());
+        admit(now, from, message);
+    }
+}
+
 auto ControlNode::handle(TimePoint, const InstanceId &, fb::GrantT &) -> void {}
 
 auto ControlNode::handle(TimePoint, const InstanceId &, fb::RefusalT &) -> void {}
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -50,6 +50,7 @@
         sendPresence(now);
     if (!isLeader(now))
         return;
+    admitDelayed(now);
     m_dispatcher.tick(now);
     if (now >= m_directoryPushAt) {
         m_directoryPushAt = TimePoint::max();
@@ -85,6 +86,8 @@
     auto next = std::min(m_replica.nextDeadline(), m_nextPresence);
     if (m_wasServing) {
         next = std::min({next, m_nextMaintenance, m_directoryPushAt});
+        if (!m_delayed.empty())
+            next = std::min(next, m_delayed.begin()->first);
         next = std::min(next, m_dispatcher.nextDeadline(now));
     }
     if (m_oldestCommand && m_inFlight.empty())
@@ -218,6 +221,7 @@
     m_dispatcher = Dispatcher();
     m_dispatcher.setUpstreams(now, m_state.upstreams(), m_state.configuration());
     m_admissions.clear();
+    m_delayed.clear();
     m_members.clear();
     m_absentSince.clear();
     m_lastSequence.clear();
--- a/libs/fleet/src/quota_table.cpp
+++ b/libs/fleet/src/quota_table.cpp
@@ -11,6 +11,8 @@
 constexpr double kStartShare = 0.5;
 /// Part of a burst that only programs that have begun may use.
 constexpr double kBegunShare = 0.6;
+/// Longest time for which a request of a program that has begun waits for its token.
+constexpr Duration kLongestTokenWait = std::chrono::milliseconds(500);
 
 auto seconds(Duration duration) -> double
 {
@@ -19,11 +21,11 @@
 
 } // namespace
 
-auto QuotaTable::take(TimePoint now, const CustomerId &customer, double ratePerSecond,
-                      double burst, bool isBegun) -> Duration
+auto QuotaTable::take(TimePoint now, const CustomerId &customer, double ratePerSecond, double burst,
+                      bool isBegun) -> QuotaDecision
 {
     if (ratePerSecond <= 0)
-        return Duration::zero();
+        return {};
     const auto most = std::max(burst, 1.0);
     const auto [found, isNew] =
         m_buckets.try_emplace(customer, Bucket{firstLevel(ratePerSecond, most), most, m_startedAt});
@@ -34,13 +36,13 @@
     bucket.level = std::min(bucket.burst, bucket.level + std::max(accrued, 0.0));
     bucket.updatedAt = now;
     const auto needed = isBegun ? 1.0 : 1.0 + kBegunShare * bucket.burst;
-    if (bucket.level >= needed) {
+    const auto missing = std::max(needed - bucket.level, 0.0) / ratePerSecond;
+    const auto wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing));
+    const auto isAdmitted = missing <= 0 || (isBegun && wait <= kLongestTokenWait);
+    // A request that waits takes its token in advance, so that those behind it wait longer.
+    if (isAdmitted)
         bucket.level -= 1;
-        return Duration::zero();
-    }
-    const auto missing = (needed - bucket.level) / ratePerSecond;
-    return std::max(Duration(1),
-                    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing)));
+    return {isAdmitted, missing <= 0 ? Duration::zero() : std::max(wait, Duration(1))};
 }
 
 auto QuotaTable::firstLevel(double ratePerSecond, double burst) const -> double
