--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -18,7 +18,7 @@
 constexpr int kAbandonedGaps = 8;
 /// Time kept for the work itself when a request waits for a place.
 constexpr Duration kStreamStartMargin = std::chrono::milliseconds(400);
-constexpr Duration kCallStartMargin = std::chrono::milliseconds(100);
+constexpr Duration kCallStartMargin = std::chrono::milliseconds(30);
 /// Longest time without a byte of a stream before its upstream counts as silent.
 constexpr Duration kStreamSilence = std::chrono::milliseconds(1100);
 /// The same for an idempotent request, in multiples of its target latency, and at least.
