--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -107,7 +107,7 @@
 
     /// Stores a configuration if its version is above the one in force.
     auto putConfiguration(TimePoint now, CallToken token, const Configuration &configuration,
-                          std::string document) -> void;
+                          const std::string &document) -> void;
     auto readConfiguration(TimePoint now, CallToken token) -> void;
     /// Begins to empty the instance with an operator's name.
     auto startRetiring(TimePoint now, CallToken token, const std::string &name) -> void;
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -226,7 +226,7 @@
     refusal.request = request;
     refusal.code = static_cast<int>(code);
     refusal.retryAfter = retryAfter.count();
-    m_output.messages.push_back({gateway, PeerFrame(Message(std::move(refusal)))});
+    m_output.messages.push_back({gateway, PeerFrame(Message(refusal))});
 }
 
 auto ControlNode::takeDispatcherOutput(TimePoint now) -> void
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -42,7 +42,8 @@
 }
 
 auto ControlNode::putConfiguration(TimePoint now, CallToken token,
-                                   const Configuration &configuration, std::string document) -> void
+                                   const Configuration &configuration, const std::string &document)
+    -> void
 {
     if (!isLeader(now))
         return answerElsewhere(token);
--- a/libs/fleet/src/control_members.cpp
+++ b/libs/fleet/src/control_members.cpp
@@ -141,7 +141,8 @@
         feed.term = m_replica.term();
         feed.configurationVersion = m_state.configuration().version();
         feed.controls = controlList();
-        m_output.messages.push_back({InstanceId(endpoint->host), PeerFrame(Message(std::move(feed)))});
+        m_output.messages.push_back(
+            {InstanceId(endpoint->host), PeerFrame(Message(std::move(feed)))});
     }
 }
 
@@ -299,7 +300,7 @@
             return;
         }
     }
-    const auto wanted = static_cast<std::size_t>(2 * m_settings.faultTolerance + 1);
+    const auto wanted = 2 * static_cast<std::size_t>(m_settings.faultTolerance) + 1;
     const auto leaving = std::find_if(group.voters.begin(), group.voters.end(),
                                       [&](const auto &voter) { return shouldLeave(now, voter); });
     const auto serving = static_cast<std::size_t>(
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -110,8 +110,8 @@
     if (m_poison.isPoison(now, state.work.fingerprint))
         return reject(now, id, RejectReason::Poison, Duration::zero());
     if (!state.work.isBegun && state.work.finishBy)
-        state.work.startBy =
-            std::min(state.work.startBy, now + (*state.work.finishBy - now) * kNewPatiencePercent / 100);
+        state.work.startBy = std::min(
+            state.work.startBy, now + (*state.work.finishBy - now) * kNewPatiencePercent / 100);
     auto &service = m_services[state.work.service];
     if (service.queue.empty()) {
         if (const auto *chosen = choose(now, state.work))
@@ -134,7 +134,7 @@
         return;
     found->second.running.insert(work.id);
     const auto id = work.id;
-    m_work[id] = WorkState{std::move(work), now, upstream, Duration::zero()};
+    m_work[id] = WorkState{std::move(work), now, upstream, Duration::zero(), {}};
 }
 
 auto Dispatcher::finish(TimePoint now, RequestId request, const WorkReport &report) -> void
@@ -305,10 +305,9 @@
 auto Dispatcher::hasFreePlace(TimePoint now, const ServiceLoad &service) const -> bool
 {
     static const Work kAnyWork;
-    return std::any_of(service.upstreams.begin(), service.upstreams.end(),
-                       [&](const UpstreamId &id) {
-                           return isAvailable(now, m_upstreams.at(id), kAnyWork);
-                       });
+    return std::any_of(
+        service.upstreams.begin(), service.upstreams.end(),
+        [&](const UpstreamId &id) { return isAvailable(now, m_upstreams.at(id), kAnyWork); });
 }
 
 auto Dispatcher::expectedWait(const ServiceLoad &service, const QueueKey &key) const -> Duration
--- a/libs/fleet/src/messages.cpp
+++ b/libs/fleet/src/messages.cpp
@@ -26,7 +26,7 @@
     if (auto *grant = body.AsGrant())
         return Message(std::move(*grant));
     if (auto *refusal = body.AsRefusal())
-        return Message(std::move(*refusal));
+        return Message(*refusal);
     if (auto *completion = body.AsCompletion())
         return Message(std::move(*completion));
     return fail(Code::BadFrame, "a message without body");
--- a/libs/fleet/test/control_node_test.cpp
+++ b/libs/fleet/test/control_node_test.cpp
@@ -66,8 +66,8 @@
         settings.boot = ++m_boots;
         settings.seeds = {InstanceId(nameOf(0)), InstanceId(nameOf(1)), InstanceId(nameOf(2))};
         settings.compactAfter = 50;
-        m_nodes[instance] = std::make_unique<ControlNode>(
-            settings, m_disks[replica].state, Random(m_boots * 7919), m_log, m_now);
+        m_nodes[instance] = std::make_unique<ControlNode>(settings, m_disks[replica].state,
+                                                          Random(m_boots * 7919), m_log, m_now);
         m_replicas[instance] = replica;
     }
 
--- a/libs/fleet/test/gateway_test.cpp
+++ b/libs/fleet/test/gateway_test.cpp
@@ -106,8 +106,8 @@
         std::vector<GatewayEffect> rest;
         for (auto &effect : m_effects) {
             const T *match = nullptr;
-            if constexpr (std::is_constructible_v<GatewayEffect, T>
-                          && !std::is_constructible_v<Message, T>) {
+            if constexpr (std::is_constructible_v<GatewayEffect,
+                                                  T> && !std::is_constructible_v<Message, T>) {
                 match = std::get_if<T>(&effect);
             } else if (const auto *out = std::get_if<PeerOut>(&effect)) {
                 match = std::get_if<T>(&std::get<Message>(out->frame));
--- a/libs/net/include/heathergate/net/peer_links.h
+++ b/libs/net/include/heathergate/net/peer_links.h
@@ -31,7 +31,7 @@
     /// Accepts connections of others. Fails with `Code::BadSetting`.
     [[nodiscard]] auto listen(const Endpoint &at) -> Result<void>;
     /// Sends a message to the instance `to` that listens at `address`.
-    auto send(const InstanceId &to, const Endpoint &address, std::string body) -> void;
+    auto send(const InstanceId &to, const Endpoint &address, const std::string &body) -> void;
 
 private:
     class Link;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -41,7 +41,7 @@
         : m_client(client)
         , m_server(std::move(server))
         , m_parser(HttpParser::Kind::Response, kMaxHeadBytes,
-                   {[this](HttpHead head) { headRead(std::move(head)); },
+                   {[this](const HttpHead &head) { headRead(head); },
                     [this](std::string_view bytes) { bodyRead(bytes); }, [] {}})
     {
     }
@@ -145,7 +145,7 @@
         return false;
     }
 
-    auto headRead(HttpHead head) -> void
+    auto headRead(const HttpHead &head) -> void
     {
         constexpr int kFirstFinalStatus = 200;
         const auto *echo = head.headers.find(m_request.echoName);
--- a/libs/net/src/peer_links.cpp
+++ b/libs/net/src/peer_links.cpp
@@ -143,7 +143,7 @@
     return {};
 }
 
-auto PeerLinks::send(const InstanceId &to, const Endpoint &address, std::string body) -> void
+auto PeerLinks::send(const InstanceId &to, const Endpoint &address, const std::string &body) -> void
 {
     if (const auto known = m_byPeer.find(to); known != m_byPeer.end())
         return known->second->send(body);
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -163,7 +163,8 @@
 
 BOOST_AUTO_TEST_CASE(refusesAChangeOfProtocol)
 {
-    send("GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nGET /b HTTP/1.1\r\n");
+    send("GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nGET /b "
+         "HTTP/1.1\r\n");
     BOOST_TEST(requests.empty());
     BOOST_TEST(closed);
 }
--- a/libs/node/include/heathergate/node/control_program.h
+++ b/libs/node/include/heathergate/node/control_program.h
@@ -41,7 +41,7 @@
         if (auto opened = openNode(); !opened)
             return opened;
         Process::Hooks hooks;
-        hooks.onFrame = [this](const InstanceId &from, std::string body) {
+        hooks.onFrame = [this](const InstanceId &from, const std::string &body) {
             auto frame = fleet::decodeFrame(body);
             if (frame)
                 m_node->receive(now(), from, std::move(*frame));
--- a/libs/node/include/heathergate/node/gateway_program.h
+++ b/libs/node/include/heathergate/node/gateway_program.h
@@ -24,7 +24,7 @@
     [[nodiscard]] auto open() -> Result<void>
     {
         Process::Hooks hooks;
-        hooks.onFrame = [this](const InstanceId &from, std::string body) {
+        hooks.onFrame = [this](const InstanceId &from, const std::string &body) {
             auto frame = fleet::decodeFrame(body);
             if (frame)
                 m_gateway.receive(now(), from, std::move(*frame));
--- a/libs/node/include/heathergate/node/process.h
+++ b/libs/node/include/heathergate/node/process.h
@@ -41,7 +41,7 @@
     auto stop(int status) -> void;
 
     /// Sends a frame to another instance; it may be lost.
-    auto send(const InstanceId &to, std::string body) -> void;
+    auto send(const InstanceId &to, const std::string &body) -> void;
 
     [[nodiscard]] auto loop() -> net::EventLoop &
     {
--- a/libs/node/src/process.cpp
+++ b/libs/node/src/process.cpp
@@ -133,9 +133,9 @@
     return m_metricsServer->listen({m_settings.host, m_settings.metricsPort});
 }
 
-auto Process::send(const InstanceId &to, std::string body) -> void
+auto Process::send(const InstanceId &to, const std::string &body) -> void
 {
-    m_links->send(to, {to.value, m_settings.peerPort}, std::move(body));
+    m_links->send(to, {to.value, m_settings.peerPort}, body);
 }
 
 auto Process::run() -> int
