--- a/libs/net/include/heathergate/net/tcp_stream.h
+++ b/libs/net/include/heathergate/net/tcp_stream.h
@@ -44,7 +44,8 @@
     auto write(std::string_view bytes) -> void;
     /// Closes at once; unsent output is lost.
     auto close() -> void;
-    /// Closes once all output was handed to the system.
+    /// Closes once all output was handed to the system. The stream lives on by itself until then,
+    /// and calls no handler any more.
     auto closeAfterWrite() -> void;
     /// Stops or resumes reading.
     auto setReading(bool reading) -> void;
@@ -98,6 +99,8 @@
     std::string m_output;
     std::size_t m_written = 0;
     Handlers m_handlers;
+    /// Keeps a stream alive that has output to send but no owner.
+    std::shared_ptr<TcpStream> m_self;
 };
 
 /// A listening socket.
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -43,7 +43,8 @@
     ~Connection()
     {
         m_server.m_loop.cancel(m_timer);
-        m_stream->close();
+        if (m_stream)
+            m_stream->close();
     }
 
     Connection(const Connection &) = delete;
@@ -103,7 +104,8 @@
     auto closeNow() -> void
     {
         m_busy = false;
-        m_stream->closeAfterWrite();
+        // The stream sends what it holds, also once this connection is forgotten.
+        std::exchange(m_stream, nullptr)->closeAfterWrite();
         m_server.remove(m_id);
     }
 
@@ -123,11 +125,8 @@
     auto finish() -> void
     {
         m_busy = false;
-        if (m_lastAnswer) {
-            m_stream->closeAfterWrite();
-            m_server.remove(m_id);
-            return;
-        }
+        if (m_lastAnswer)
+            return closeNow();
         m_parser.reset();
         m_stream->setReading(true);
         armTimer(m_server.m_limits.idleTimeout);
--- a/libs/net/src/tcp_stream.cpp
+++ b/libs/net/src/tcp_stream.cpp
@@ -112,13 +112,16 @@
     if (auto self = weak_from_this().lock())
         m_loop.defer([self, handlers = std::make_shared<Handlers>(std::move(m_handlers))] {});
     m_handlers = {};
+    m_loop.defer([self = std::exchange(m_self, nullptr)] {});
 }
 
 auto TcpStream::closeAfterWrite() -> void
 {
     m_closeWhenDrained = true;
     if (pendingOutput() == 0)
-        close();
+        return close();
+    m_loop.defer([handlers = std::make_shared<Handlers>(std::exchange(m_handlers, {}))] {});
+    m_self = shared_from_this();
 }
 
 auto TcpStream::setReading(bool reading) -> void
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -106,6 +106,17 @@
     BOOST_TEST(requests.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(sendsALongAnswerWholeBeforeItCloses)
+{
+    constexpr std::size_t kLong = 8 * 1024 * 1024;
+    send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    server.respond(requests.at(0).first, {200, {}, std::string(kLong, 'x')});
+    for (int i = 0; i < 50 && !closed; ++i)
+        runFor(20ms);
+    BOOST_TEST(closed);
+    BOOST_TEST(received.size() > kLong);
+}
+
 BOOST_AUTO_TEST_CASE(noticesAtOnceThatTheCallerHasGone)
 {
     send(kGet);
