Add a fault soak of the real programs on loopback

Cause: promises were proved on state machines and on the bench; nothing of ours harmed the real processes and their connections.

Change: soak/ starts control instances and gateways as processes, puts a fault proxy before each peer port and upstream (delay, reset, silence, cuts in one direction), signals, kills, wipes and freezes in overlapping series by a seed, and checks what callers, upstream stand-ins and the operator see. platform/ gains the senders' formats for stand-ins; instances may dial a forwarder's port.

--- a/libs/net/include/heathergate/net/peer_session.h
+++ b/libs/net/include/heathergate/net/peer_session.h
@@ -34,7 +34,7 @@
     [[nodiscard]] auto receive(std::string_view bytes) -> Result<std::vector<std::string>>;
 
     /// Adds a frame to the output. Requires `isEstablished`.
-    void send(std::string_view body);
+    auto send(std::string_view body) -> void;
 
     /// Returns and forgets the bytes to send.
     [[nodiscard]] auto takeOutput() -> std::string
@@ -58,7 +58,7 @@
     [[nodiscard]] auto takeHello(const std::string &body) -> Result<void>;
     [[nodiscard]] auto takeProof(const std::string &body) -> Result<void>;
     [[nodiscard]] auto openFrame(const std::string &frame) -> Result<std::string>;
-    void putFrame(std::string_view frame);
+    auto putFrame(std::string_view frame) -> void;
 
     const PeerIdentity &m_identity;
     std::optional<InstanceId> m_expected;
--- a/libs/net/include/heathergate/net/tcp_stream.h
+++ b/libs/net/include/heathergate/net/tcp_stream.h
@@ -44,6 +44,8 @@
     auto write(std::string_view bytes) -> void;
     /// Closes at once; unsent output is lost.
     auto close() -> void;
+    /// Closes at once with a reset, so that the peer cannot take the end for an orderly one.
+    auto abort() -> void;
     /// Closes once all output was handed to the system. The stream lives on by itself until then,
     /// and calls no handler any more.
     auto closeAfterWrite() -> void;
--- a/libs/net/src/peer_session.cpp
+++ b/libs/net/src/peer_session.cpp
@@ -92,7 +92,7 @@
     return bodies;
 }
 
-void PeerSession::send(std::string_view body)
+auto PeerSession::send(std::string_view body) -> void
 {
     auto frame = frameCode(m_sendKey, m_sent++, body);
     frame += body;
@@ -151,7 +151,7 @@
     return std::string(body);
 }
 
-void PeerSession::putFrame(std::string_view frame)
+auto PeerSession::putFrame(std::string_view frame) -> void
 {
     m_output += numberBytes(frame.size(), kLengthBytes);
     m_output += frame;
--- a/libs/net/src/tcp_stream.cpp
+++ b/libs/net/src/tcp_stream.cpp
@@ -115,6 +115,15 @@
     m_loop.defer([self = std::exchange(m_self, nullptr)] {});
 }
 
+auto TcpStream::abort() -> void
+{
+    if (!isOpen())
+        return;
+    const struct linger discard = {1, 0};
+    static_cast<void>(::setsockopt(m_handle, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard)));
+    close();
+}
+
 auto TcpStream::closeAfterWrite() -> void
 {
     m_closeWhenDrained = true;
--- /dev/null
+++ b/soak/caller.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "observations.h"
+
+#include <heathergate/fleet/event_splitter.h>
+#include <heathergate/net/net.h>
+
+namespace heathergate::soak {
+
+/// A customer as callers know it.
+struct CustomerAccount
+{
+    std::string name;
+    std::string key;
+};
+
+/// One caller: runs agent programs one after the other, each a line of turns with calls between.
+/// It asks the directory where to connect, or stays with its gateway until that is gone.
+class Caller
+{
+public:
+    struct Settings
+    {
+        std::string name;
+        std::string domain;
+        /// Stays with a gateway until its connection breaks, whatever the directory says.
+        bool isStubborn = false;
+        /// Share of requests that it leaves before the answer.
+        double leaves = 0;
+        std::vector<Endpoint> directories;
+    };
+    /// Returns the account under which the next program runs.
+    using AccountSource = std::function<CustomerAccount()>;
+    /// Tells whether a connection that was cut at a gateway was cut by its graceful stop.
+    using StopCheck = std::function<bool(const InstanceId &gateway, TimePoint sentAt)>;
+
+    Caller(net::EventLoop &loop, Settings settings, Observations &observations, Random random,
+           AccountSource accounts, StopCheck stoppedGracefully);
+
+    auto start() -> void;
+    /// Begins no further program.
+    auto finish() -> void
+    {
+        m_finishing = true;
+    }
+
+    static constexpr const char *kHost = "soak.example";
+    static constexpr const char *kTurnPrefix = "/turns/";
+    static constexpr const char *kIdempotentPrefix = "/look/";
+    static constexpr const char *kRunsOncePrefix = "/pay/";
+
+private:
+    struct Program
+    {
+        std::string name;
+        CustomerAccount account;
+        int turnsLeft = 0;
+        int turn = 0;
+        std::int64_t budget = 0;
+        std::int64_t mostOfATurn = 0;
+    };
+    struct Exchange
+    {
+        IssuedRequest issued;
+        int triesLeft = 0;
+        net::HttpHead head;
+        std::string body;
+        fleet::EventSplitter events;
+        std::uint64_t lastEvent = 0;
+        bool leaves = false;
+    };
+
+    auto beginProgram() -> void;
+    auto nextStep() -> void;
+    auto issue(RequestKind kind, int tries) -> void;
+    [[nodiscard]] auto targetOf(RequestKind kind) -> std::string;
+    auto send() -> void;
+    [[nodiscard]] auto requestBytes() const -> std::string;
+    auto headReceived(net::OutgoingId id, const net::HttpHead &head) -> void;
+    auto bodyReceived(net::OutgoingId id, std::string_view bytes) -> void;
+    auto takeEvents(std::string_view bytes) -> void;
+    auto ended(net::OutgoingId id, net::OutgoingEnd end) -> void;
+    auto requestEnded(const net::OutgoingEnd &end) -> void;
+    [[nodiscard]] auto retryPause() const -> std::optional<Duration>;
+    auto askDirectory() -> void;
+    auto chooseGateway() -> void;
+    auto after(Duration pause, net::EventLoop::Action action) -> void;
+
+    net::EventLoop &m_loop;
+    Settings m_settings;
+    Observations &m_observations;
+    Random m_random;
+    AccountSource m_accounts;
+    StopCheck m_stoppedGracefully;
+    net::HttpClient m_client;
+    net::OutgoingId m_lastId = 0;
+    /// The request that is under way; 0 if none.
+    net::OutgoingId m_current = 0;
+    net::OutgoingId m_directoryCall = 0;
+    std::string m_directoryBody;
+    int m_directoryStatus = 0;
+    std::size_t m_directory = 0;
+    std::vector<Endpoint> m_gateways;
+    TimePoint m_gatewaysUntil{};
+    std::optional<Endpoint> m_gateway;
+    Program m_program;
+    Exchange m_exchange;
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_programs = 0;
+    bool m_finishing = false;
+};
+
+} // namespace heathergate::soak
--- /dev/null
+++ b/soak/operator.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "caller.h"
+
+#include <heathergate/fleet/configuration.h>
+
+namespace heathergate::soak {
+
+/// The operator: sends configurations, again and to another control instance until each is
+/// acknowledged, and reads them back all the while.
+class Operator
+{
+public:
+    Operator(net::EventLoop &loop, std::vector<Endpoint> controls, Observations &observations,
+             Random random);
+
+    /// Sends the first configuration, and begins to read.
+    auto start(fleet::Configuration configuration) -> void;
+    /// Sends a changed configuration: a new route, a route less, or other weights of none.
+    auto changeRoutes() -> void;
+    /// Gives a customer another key and withdraws the present one.
+    auto changeKey() -> void;
+    /// Sends something that is not valid; it must be refused.
+    auto sendInvalid() -> void;
+    /// Share of acknowledgements that get lost on their way.
+    auto setLostAnswers(double share) -> void
+    {
+        m_lostAnswers = share;
+    }
+
+    /// Returns an account of a random customer; its key is the newest acknowledged one.
+    [[nodiscard]] auto account() -> CustomerAccount;
+    [[nodiscard]] auto lastReadVersion() const -> std::uint64_t
+    {
+        return m_lastRead;
+    }
+    [[nodiscard]] auto openOrders() const -> std::size_t
+    {
+        return m_orders.size();
+    }
+
+private:
+    struct Order
+    {
+        std::uint64_t version = 0;
+        std::string document;
+        bool isValid = true;
+        /// Key that ceases with this configuration.
+        std::string withdraws;
+        std::string customer;
+        std::string gives;
+    };
+    struct Call
+    {
+        /// Number of its order; 0 for a read.
+        std::uint64_t order = 0;
+        TimePoint sentAt{};
+        int redirects = 0;
+        int status = 0;
+        std::string body;
+        std::optional<Endpoint> redirect;
+    };
+
+    auto place(Order order) -> void;
+    auto sendOrder(std::uint64_t order, const Endpoint &to, int redirects) -> void;
+    auto sendAgain(std::uint64_t order) -> void;
+    auto read() -> void;
+    auto sendRead(const Endpoint &to, TimePoint sentAt, int redirects) -> void;
+    auto send(const net::OutgoingRequest &request, Call call) -> void;
+    auto ended(net::OutgoingId id, bool complete) -> void;
+    auto orderAnswered(const Call &call, bool complete) -> void;
+    [[nodiscard]] auto anyControl() -> const Endpoint &;
+
+    net::EventLoop &m_loop;
+    std::vector<Endpoint> m_controls;
+    Observations &m_observations;
+    Random m_random;
+    net::HttpClient m_client;
+    fleet::Configuration m_configuration;
+    std::map<std::string, std::string> m_keys;
+    std::map<std::uint64_t, Order> m_orders;
+    std::map<net::OutgoingId, Call> m_calls;
+    net::OutgoingId m_lastCall = 0;
+    std::uint64_t m_lastOrder = 0;
+    std::uint64_t m_lastRoute = 0;
+    std::uint64_t m_lastKey = 0;
+    std::uint64_t m_lastRead = 0;
+    double m_lostAnswers = 0;
+};
+
+} // namespace heathergate::soak
--- /dev/null
+++ b/soak/upstream.cpp
@@ -0,0 +1,325 @@
+#include "upstream.h"
+
+#include "network.h"
+
+#include <charconv>
+#include <ctime>
+#include <heathergate/platform/names.h>
+#include <heathergate/platform/sender_formats.h>
+
+namespace heathergate::soak {
+
+namespace {
+
+namespace header = platform::header;
+namespace call = platform::call;
+
+constexpr Duration kBeatInterval = std::chrono::milliseconds(800);
+constexpr Duration kBeatRetry = std::chrono::milliseconds(200);
+constexpr Duration kFirstEvent = std::chrono::milliseconds(20);
+constexpr Duration kEventInterval = std::chrono::milliseconds(12);
+constexpr Duration kLeastCallTime = std::chrono::milliseconds(5);
+constexpr std::uint64_t kCallSpreadMs = 40;
+/// A draining upstream serves on for this long after its word was acknowledged.
+constexpr Duration kDrainTime = std::chrono::milliseconds(3500);
+constexpr Duration kAbsence = std::chrono::milliseconds(500);
+constexpr int kMaxRedirects = 2;
+constexpr std::uint64_t kMaxBody = 20'000;
+
+auto wallMilliseconds() -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+auto eventText(const std::string &target, std::uint64_t number) -> std::string
+{
+    return "id: " + std::to_string(number) + "\ndata: " + Upstream::eventData(target, number)
+           + "\n\n";
+}
+
+} // namespace
+
+auto Upstream::eventData(const std::string &target, std::uint64_t number) -> std::string
+{
+    const auto hash = hash64(target, number);
+    return toHex({reinterpret_cast<const char *>(&hash), sizeof(hash)});
+}
+
+auto Upstream::eventCount(const std::string &target) -> std::uint64_t
+{
+    const auto digits = std::string_view(target).substr(target.rfind('/') + 1);
+    std::uint64_t count = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), count);
+    return count;
+}
+
+Upstream::Upstream(net::EventLoop &loop, Identity identity, std::vector<Endpoint> controls,
+                   Observations &observations, Random random)
+    : m_loop(loop)
+    , m_identity(std::move(identity))
+    , m_controls(std::move(controls))
+    , m_observations(observations)
+    , m_random(random)
+    , m_proxy(loop, {m_identity.host, Network::kUpstreamProxyPort},
+              {m_identity.host, Network::kUpstreamPort})
+    , m_client(loop,
+               {[this](net::OutgoingId id, const net::HttpHead &head) { reportAnswered(id, head); },
+                [](net::OutgoingId, std::string_view) {},
+                [this](net::OutgoingId id, net::OutgoingEnd end) {
+                    if (id != m_report || end.complete)
+                        return;
+                    ++m_control; // Another control instance is asked next time.
+                    m_report = 0;
+                }})
+{
+}
+
+Upstream::~Upstream() = default;
+
+auto Upstream::start() -> void
+{
+    if (const auto opened = m_proxy.open(); !opened)
+        throw std::runtime_error(opened.error().detail);
+    restart(false);
+}
+
+auto Upstream::restart(bool sameId) -> void
+{
+    if (m_server)
+        return;
+    ++m_starts;
+    if (!sameId || m_id.empty())
+        m_id = m_identity.name + "-" + std::to_string(m_starts);
+    m_born = wallMilliseconds();
+    m_sequence = 0;
+    m_state = State::Ready;
+    m_leaveSeen = false;
+    m_faults = {};
+    m_observations.upstreamGone(UpstreamId(m_id));
+    listen();
+    beat();
+}
+
+auto Upstream::listen() -> void
+{
+    m_server = std::make_unique<net::HttpServer>(
+        m_loop, net::HttpServer::Handlers{
+                    [this](net::ExchangeId exchange, const net::HttpRequest &request) {
+                        requested(exchange, request);
+                    },
+                    [this](net::ExchangeId exchange) { forget(exchange); }});
+    if (const auto opened = m_server->listen({m_identity.host, Network::kUpstreamPort}); !opened)
+        throw std::runtime_error(opened.error().detail);
+}
+
+auto Upstream::crash() -> void
+{
+    m_loop.cancel(std::exchange(m_beat, 0));
+    for (const auto &[exchange, running] : m_running)
+        m_loop.cancel(running.timer);
+    m_running.clear();
+    // The server may be the caller.
+    m_loop.defer([server = std::shared_ptr<net::HttpServer>(std::move(m_server))] {});
+}
+
+auto Upstream::drain() -> void
+{
+    if (!m_server || m_state != State::Ready)
+        return;
+    m_state = State::Draining;
+    m_loop.cancel(std::exchange(m_beat, 0));
+    beat();
+}
+
+auto Upstream::scaled(Duration duration) const -> Duration
+{
+    return std::chrono::duration_cast<Duration>(duration * m_faults.slowness);
+}
+
+auto Upstream::requested(net::ExchangeId exchange, const net::HttpRequest &request) -> void
+{
+    const auto &headers = request.head.headers;
+    const auto expected = headers.value(header::kExpectedUpstream);
+    const auto isOther = !expected.empty() && expected != m_id;
+    const auto isFull = m_running.size() >= static_cast<std::size_t>(m_identity.slots);
+    if (isOther || isFull || m_random.unit() < m_faults.decline)
+        return decline(exchange);
+    observe(request);
+    if (m_faults.isHanging) {
+        m_running[exchange] = {std::string(headers.value(header::kRequestId)), request.head.target,
+                               1, false, 0};
+        return;
+    }
+    if (m_random.unit() < m_faults.loseAnswer) {
+        m_server->abort(exchange);
+        return;
+    }
+    if (m_identity.isEngine)
+        beginStream(exchange, request);
+    else
+        beginCall(exchange, request);
+}
+
+auto Upstream::decline(net::ExchangeId exchange) -> void
+{
+    constexpr int kUnavailable = 503;
+    net::HttpResponse response;
+    response.status = kUnavailable;
+    response.headers.add(std::string(header::kNotExecuted), "1");
+    m_server->respond(exchange, response);
+}
+
+auto Upstream::observe(const net::HttpRequest &request) -> void
+{
+    const auto &headers = request.head.headers;
+    ObservedRun run;
+    run.id = headers.value(header::kRequestId);
+    run.upstream = UpstreamId(m_id);
+    run.customer = headers.value(header::kCustomer);
+    run.method = request.head.method;
+    run.target = request.head.target;
+    run.body = request.body;
+    run.carriesKey = headers.find(header::kKey) != nullptr;
+    run.at = m_loop.now();
+    m_observations.ran(run);
+}
+
+auto Upstream::beginStream(net::ExchangeId exchange, const net::HttpRequest &request) -> void
+{
+    const auto &headers = request.head.headers;
+    Running running;
+    running.request = headers.value(header::kRequestId);
+    running.target = request.head.target;
+    running.breaksOff = m_random.unit() < m_faults.breakOff;
+    const auto last = headers.value(header::kLastEvent);
+    std::uint64_t number = 0;
+    std::from_chars(last.data(), last.data() + last.size(), number);
+    running.nextEvent = number + 1;
+    running.timer =
+        m_loop.at(m_loop.now() + scaled(kFirstEvent), [this, exchange] { sendEvent(exchange); });
+    const auto signature = m_id + "." + running.request;
+    m_observations.produced(running.request, signature, {});
+    m_running[exchange] = std::move(running);
+    m_server->beginStream(exchange, 200,
+                          {{std::string(header::kSignature), signature},
+                           {std::string(header::kRequestId), m_running[exchange].request},
+                           {"Content-Type", "text/event-stream"}});
+}
+
+auto Upstream::sendEvent(net::ExchangeId exchange) -> void
+{
+    auto &running = m_running.at(exchange);
+    const auto count = eventCount(running.target);
+    if (running.breaksOff && running.nextEvent > count / 2) {
+        // In the middle of an event.
+        m_server->write(exchange, eventText(running.target, running.nextEvent).substr(0, 9));
+        m_server->endStream(exchange, false);
+        return forget(exchange);
+    }
+    if (running.nextEvent <= count)
+        m_server->write(exchange, eventText(running.target, running.nextEvent));
+    if (++running.nextEvent > count) {
+        m_server->endStream(exchange, true);
+        return forget(exchange);
+    }
+    running.timer =
+        m_loop.at(m_loop.now() + scaled(kEventInterval), [this, exchange] { sendEvent(exchange); });
+}
+
+auto Upstream::beginCall(net::ExchangeId exchange, const net::HttpRequest &request) -> void
+{
+    Running running;
+    running.request = request.head.headers.value(header::kRequestId);
+    running.target = request.head.target;
+    running.breaksOff = m_random.unit() < m_faults.breakOff;
+    const auto work = kLeastCallTime + std::chrono::milliseconds(m_random.below(kCallSpreadMs));
+    running.timer = m_loop.at(m_loop.now() + scaled(work), [this, exchange] { endCall(exchange); });
+    m_running[exchange] = std::move(running);
+}
+
+auto Upstream::endCall(net::ExchangeId exchange) -> void
+{
+    const auto running = m_running.at(exchange);
+    m_running.erase(exchange);
+    constexpr int kFailure = 500;
+    net::HttpResponse response;
+    if (m_random.unit() < m_faults.fail)
+        response.status = kFailure;
+    const auto signature = m_id + "." + running.request;
+    response.headers.add(std::string(header::kSignature), signature);
+    response.headers.add(std::string(header::kRequestId), running.request);
+    response.body = running.request + std::string(m_random.below(kMaxBody), 'x');
+    m_observations.produced(running.request, signature, response.body);
+    if (running.breaksOff) {
+        m_server->beginStream(exchange, 200, response.headers);
+        m_server->write(exchange, response.body.substr(0, response.body.size() / 2));
+        m_server->endStream(exchange, false);
+        return;
+    }
+    m_server->respond(exchange, response);
+}
+
+auto Upstream::forget(net::ExchangeId exchange) -> void
+{
+    const auto running = m_running.find(exchange);
+    if (running == m_running.end())
+        return;
+    m_loop.cancel(running->second.timer);
+    m_running.erase(running);
+}
+
+auto Upstream::beat() -> void
+{
+    report(m_state);
+    const auto pause = m_state == State::Ready ? kBeatInterval : kBeatRetry;
+    m_beat = m_loop.at(m_loop.now() + pause, [this] { beat(); });
+}
+
+auto Upstream::report(State state) -> void
+{
+    m_redirects = 0;
+    platform::UpstreamHeartbeat heartbeat;
+    heartbeat.service = m_identity.service;
+    heartbeat.address = {m_identity.host, Network::kUpstreamProxyPort};
+    heartbeat.domain = m_identity.domain;
+    heartbeat.slots = m_identity.slots;
+    heartbeat.isDraining = state != State::Ready;
+    heartbeat.sequence = ++m_sequence;
+    heartbeat.born = std::chrono::milliseconds(m_born);
+    m_reportBody = platform::writeHeartbeat(heartbeat);
+    m_reportTarget = std::string(state == State::Leaving ? call::kLeave : call::kHeartbeat) + m_id;
+    sendReport(m_controls[m_control % m_controls.size()], m_reportTarget);
+}
+
+auto Upstream::sendReport(const Endpoint &to, const std::string &target) -> void
+{
+    m_report = ++m_lastReport;
+    m_client.send(m_report, platform::controlCall("POST", to, target, m_reportBody));
+}
+
+auto Upstream::reportAnswered(net::OutgoingId id, const net::HttpHead &head) -> void
+{
+    if (id != m_report || !m_server)
+        return;
+    if (const auto leader = platform::redirection(head); leader && m_redirects++ < kMaxRedirects)
+        return sendReport(*leader, m_reportTarget);
+    const auto isDone = head.status >= 200 && head.status < 300;
+    if (!isDone) {
+        ++m_control;
+        return;
+    }
+    if (m_state == State::Draining && !std::exchange(m_leaveSeen, true)) {
+        m_observations.upstreamLeaves(UpstreamId(m_id), m_loop.now());
+        m_loop.at(m_loop.now() + kDrainTime, [this] {
+            if (m_server && m_state == State::Draining)
+                m_state = State::Leaving;
+        });
+    } else if (m_state == State::Leaving) {
+        crash();
+        m_loop.at(m_loop.now() + kAbsence, [this] { restart(false); });
+    }
+}
+
+} // namespace heathergate::soak
