--- a/apps/heathergate/fake_upstream.cpp
+++ b/apps/heathergate/fake_upstream.cpp
@@ -22,7 +22,7 @@
                                   : std::vector<std::string>();
 }
 
-void addOptions(OptionParser &parser)
+auto addOptions(OptionParser &parser) -> void
 {
     using Names = std::vector<std::string>;
     parser.add()("id", po::value<std::string>()->required(), "Name of the upstream")(
--- a/apps/heathergate/fake_upstream.h
+++ b/apps/heathergate/fake_upstream.h
@@ -39,7 +39,7 @@
     /// Starts to listen. Fails with `Code::BadSetting`.
     [[nodiscard]] auto start() -> Result<void>;
     /// Serves until `stop` is set.
-    void run(const std::atomic<bool> &stop);
+    auto run(const std::atomic<bool> &stop) -> void;
 
 private:
     struct Stream
@@ -56,18 +56,18 @@
     };
 
     [[nodiscard]] auto now() const -> TimePoint;
-    void handle(http::Token token, const http::Request &request);
-    void chat(http::Token token, const nlohmann::json &body);
-    void serve(http::Token token, const http::Request &request);
-    void order(http::Token token, const nlohmann::json &body);
-    void release(http::Token token, const nlohmann::json &body);
-    void statistics(http::Token token);
-    void produce();
-    void stream(const testing::FakeEngineEvent &event);
-    void keepAnnounced();
-    void post(const std::string &path, const nlohmann::json &body);
-    void announceEvent(const http::ClientEvent &event);
-    void leave();
+    auto handle(http::Token token, const http::Request &request) -> void;
+    auto chat(http::Token token, const nlohmann::json &body) -> void;
+    auto serve(http::Token token, const http::Request &request) -> void;
+    auto order(http::Token token, const nlohmann::json &body) -> void;
+    auto release(http::Token token, const nlohmann::json &body) -> void;
+    auto statistics(http::Token token) -> void;
+    auto produce() -> void;
+    auto stream(const testing::FakeEngineEvent &event) -> void;
+    auto keepAnnounced() -> void;
+    auto post(const std::string &path, const nlohmann::json &body) -> void;
+    auto announceEvent(const http::ClientEvent &event) -> void;
+    auto leave() -> void;
     [[nodiscard]] auto isFaulty(const std::string &marker, const std::string &content) const
         -> bool;
 
--- a/apps/heathergate/fake_upstream_server.cpp
+++ b/apps/heathergate/fake_upstream_server.cpp
@@ -72,7 +72,7 @@
     return {};
 }
 
-void FakeUpstream::run(const std::atomic<bool> &stop)
+auto FakeUpstream::run(const std::atomic<bool> &stop) -> void
 {
     while (!stop) {
         Duration wait = kLongestWait;
@@ -100,7 +100,7 @@
     return !marker.empty() && content.find(marker) != std::string::npos;
 }
 
-void FakeUpstream::handle(http::Token token, const http::Request &request)
+auto FakeUpstream::handle(http::Token token, const http::Request &request) -> void
 {
     if (request.path == "/health") {
         m_server->respond(token, {200, {{"x-boot-id", m_bootId}}, "ok"});
@@ -132,7 +132,7 @@
         m_server->respond(token, {404, {}, "no such route"});
 }
 
-void FakeUpstream::chat(http::Token token, const nlohmann::json &body)
+auto FakeUpstream::chat(http::Token token, const nlohmann::json &body) -> void
 {
     const auto content = body.dump();
     testing::FakeEngineRequest request;
@@ -148,7 +148,7 @@
     m_notifier.notify();
 }
 
-void FakeUpstream::serve(http::Token token, const http::Request &request)
+auto FakeUpstream::serve(http::Token token, const http::Request &request) -> void
 {
     ++m_calls;
     const auto key = request.header("idempotency-key");
@@ -171,7 +171,7 @@
     m_notifier.notify();
 }
 
-void FakeUpstream::order(http::Token token, const nlohmann::json &body)
+auto FakeUpstream::order(http::Token token, const nlohmann::json &body) -> void
 {
     const auto fencing = body.value("fencing", std::uint64_t(0));
     if (m_settings.checksFencing && fencing < m_fencing) {
@@ -183,7 +183,7 @@
     m_server->respond(token, daemon::jsonResponse({{"done", true}}));
 }
 
-void FakeUpstream::release(http::Token token, const nlohmann::json &body)
+auto FakeUpstream::release(http::Token token, const nlohmann::json &body) -> void
 {
     const auto program = body.value("program", "");
     // The order is lost: no answer, and the memory stays held.
@@ -193,7 +193,7 @@
     m_server->respond(token, daemon::jsonResponse({{"released", program}}));
 }
 
-void FakeUpstream::statistics(http::Token token)
+auto FakeUpstream::statistics(http::Token token) -> void
 {
     m_server->respond(
         token, daemon::jsonResponse({{"id", m_settings.id},
@@ -207,7 +207,7 @@
                                      {"orders", m_orders}}));
 }
 
-void FakeUpstream::produce()
+auto FakeUpstream::produce() -> void
 {
     const auto at = now();
     for (const auto &produced : m_engine.advance(at))
@@ -219,7 +219,7 @@
     }
 }
 
-void FakeUpstream::stream(const testing::FakeEngineEvent &produced)
+auto FakeUpstream::stream(const testing::FakeEngineEvent &produced) -> void
 {
     const auto found = m_streams.find(produced.id);
     if (found == m_streams.end())
@@ -243,7 +243,7 @@
     m_streams.erase(found);
 }
 
-void FakeUpstream::keepAnnounced()
+auto FakeUpstream::keepAnnounced() -> void
 {
     if (now() < m_nextRenewal)
         return;
@@ -270,7 +270,7 @@
                                    {"checks_fencing", m_settings.checksFencing}});
 }
 
-void FakeUpstream::post(const std::string &path, const nlohmann::json &body)
+auto FakeUpstream::post(const std::string &path, const nlohmann::json &body) -> void
 {
     http::Outgoing request;
     request.id = ++m_lastPost;
@@ -284,7 +284,7 @@
     static_cast<void>(m_client->send(std::move(request)));
 }
 
-void FakeUpstream::announceEvent(const http::ClientEvent &what)
+auto FakeUpstream::announceEvent(const http::ClientEvent &what) -> void
 {
     if (what.id != m_awaited)
         return;
@@ -306,7 +306,7 @@
     }
 }
 
-void FakeUpstream::leave()
+auto FakeUpstream::leave() -> void
 {
     {
         const std::lock_guard lock(m_mutex);
--- a/apps/heathergate/load.cpp
+++ b/apps/heathergate/load.cpp
@@ -75,7 +75,7 @@
         http::ClientEvent event;
     };
 
-    void send(TimePoint intended)
+    auto send(TimePoint intended) -> void
     {
         const auto number = ++m_lastId;
         const auto which = number % m_targets.size();
@@ -101,7 +101,7 @@
         }
     }
 
-    void takeEvents()
+    auto takeEvents() -> void
     {
         while (auto timed = m_events.pop()) {
             const auto found = m_inFlight.find(timed->event.id);
--- a/apps/heathergate/load_command.cpp
+++ b/apps/heathergate/load_command.cpp
@@ -29,7 +29,7 @@
             {"max_ms", milliseconds(histogram.max())}};
 }
 
-void printLine(const std::string &name, const telemetry::LatencyHistogram &histogram)
+auto printLine(const std::string &name, const telemetry::LatencyHistogram &histogram) -> void
 {
     std::cout << "  " << std::left << std::setw(12) << name << std::right << std::fixed
               << std::setprecision(2);
@@ -38,7 +38,7 @@
     std::cout << std::setw(10) << milliseconds(histogram.max()) << '\n';
 }
 
-void printResult(const LoadTarget &target, const LoadResult &result)
+auto printResult(const LoadTarget &target, const LoadResult &result) -> void
 {
     const auto seconds = std::chrono::duration<double>(result.elapsed).count();
     std::cout << target.name << ": " << result.sent << " sent, " << result.whole.count()
@@ -53,7 +53,7 @@
     std::cout << '\n';
 }
 
-void addOptions(OptionParser &parser)
+auto addOptions(OptionParser &parser) -> void
 {
     using Names = std::vector<std::string>;
     parser.add()("target", po::value<Names>()->composing()->required(),
--- a/apps/heathergate/main.cpp
+++ b/apps/heathergate/main.cpp
@@ -36,7 +36,7 @@
     return kCommands;
 }
 
-void printUsage(std::ostream &out)
+auto printUsage(std::ostream &out) -> void
 {
     out << "Usage: heathergate COMMAND [OPTIONS]\n\nCommands:\n";
     for (const auto &[name, command] : commands())
--- a/apps/heathergate/operator_client.cpp
+++ b/apps/heathergate/operator_client.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-void OperatorClient::addOptions(OptionParser &parser)
+auto OperatorClient::addOptions(OptionParser &parser) -> void
 {
     parser.add()("address", po::value<std::string>()->default_value(""),
                  "URL of an instance, e.g. http://127.0.0.1:8001 (default: $HEATHERGATE_ADDRESS)")(
--- a/apps/heathergate/operator_client.h
+++ b/apps/heathergate/operator_client.h
@@ -18,7 +18,7 @@
 {
 public:
     /// Adds the options that every operator command has: address and key.
-    static void addOptions(OptionParser &parser);
+    static auto addOptions(OptionParser &parser) -> void;
 
     explicit OperatorClient(const boost::program_options::variables_map &values);
 
--- a/apps/heathergate/options.h
+++ b/apps/heathergate/options.h
@@ -22,7 +22,7 @@
     }
 
     /// Declares positional arguments that are stored under `name`.
-    void positional(const std::string &name, int count)
+    auto positional(const std::string &name, int count) -> void
     {
         m_positional.add(name.c_str(), count);
     }
--- a/apps/heathergate/replay_command.cpp
+++ b/apps/heathergate/replay_command.cpp
@@ -48,7 +48,7 @@
     return replay::parseTrace(text.str());
 }
 
-void addOptions(OptionParser &parser)
+auto addOptions(OptionParser &parser) -> void
 {
     parser.add()("trace", po::value<std::string>()->default_value(""), "Trace file (JSON lines)")(
         "generate", po::value<std::string>(),
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -48,7 +48,7 @@
 }
 
 /// One routing decision among `range` upstreams, dispatch and end included.
-void routingDecision(benchmark::State &state)
+auto routingDecision(benchmark::State &state) -> void
 {
     routing::Router<routing::PrefixAffinity> router(FailureDomainId("a"));
     router.setTargets(targets(state.range(0)));
@@ -67,7 +67,7 @@
 BENCHMARK(routingDecision)->Arg(8)->Arg(380)->Arg(3800);
 
 /// The choice alone, without the bookkeeping.
-void routingChoice(benchmark::State &state)
+auto routingChoice(benchmark::State &state) -> void
 {
     routing::Router<routing::PrefixAffinity> router(FailureDomainId("a"));
     router.setTargets(targets(state.range(0)));
@@ -85,7 +85,7 @@
 BENCHMARK(routingChoice)->Arg(8)->Arg(380)->Arg(3800);
 
 /// Writing and syncing a batch of `range` records of 1 kB.
-void logBatch(benchmark::State &state)
+auto logBatch(benchmark::State &state) -> void
 {
     const auto folder = std::filesystem::temp_directory_path() / "heathergate-slopes";
     std::filesystem::remove_all(folder);
@@ -105,7 +105,7 @@
 BENCHMARK(logBatch)->Arg(1)->Arg(16)->Arg(256)->Iterations(200)->UseRealTime();
 
 /// Push and pop of one request with `range` customers waiting.
-void workQueue(benchmark::State &state)
+auto workQueue(benchmark::State &state) -> void
 {
     routing::WorkQueue queue(1'000'000);
     Random random(1);
@@ -127,7 +127,7 @@
 BENCHMARK(workQueue)->Arg(8)->Arg(240)->Arg(2400);
 
 /// Intent and outcome of one turn in a shard with `range` programs, encoding included.
-void ledgerTurn(benchmark::State &state)
+auto ledgerTurn(benchmark::State &state) -> void
 {
     const auto before = heapBytes();
     programs::ProgramLedger ledger;
@@ -172,7 +172,7 @@
 BENCHMARK(ledgerTurn)->Arg(1000)->Arg(10'000)->Arg(80'000)->Iterations(20'000);
 
 /// One allowance report of an instance with `range` customers at a bucket ledger.
-void allowanceReport(benchmark::State &state)
+auto allowanceReport(benchmark::State &state) -> void
 {
     limits::BucketLedger ledger;
     limits::AllowanceRequest request{InstanceId("instance-1"), 1, 0, {}};
@@ -201,7 +201,7 @@
 BENCHMARK(allowanceReport)->Arg(1)->Arg(8)->Arg(64);
 
 /// Committing one entry of 1 kB in a group of `range` voters, without I/O: all replicas' work.
-void consensusEntry(benchmark::State &state)
+auto consensusEntry(benchmark::State &state) -> void
 {
     std::vector<std::string> voters;
     for (std::int64_t i = 0; i < state.range(0); ++i)
@@ -222,7 +222,7 @@
 
 /// The control leader's answer to one heartbeat with `range` instances and ten times as many
 /// upstreams.
-void controlHeartbeat(benchmark::State &state)
+auto controlHeartbeat(benchmark::State &state) -> void
 {
     daemon::HostSettings settings;
     settings.self = InstanceId("disk");
@@ -287,7 +287,7 @@
 BENCHMARK(controlHeartbeat)->Arg(18)->Arg(100)->Arg(380)->Iterations(2000);
 
 /// Applying one table edit at an instance that holds `range` rows.
-void applyEdit(benchmark::State &state)
+auto applyEdit(benchmark::State &state) -> void
 {
     control::ControlState rows;
     const auto before = heapBytes();
--- a/libs/consensus/include/heathergate/consensus/internal/entry_log.h
+++ b/libs/consensus/include/heathergate/consensus/internal/entry_log.h
@@ -11,13 +11,13 @@
 {
 public:
     /// Starts the log behind the position (`index`, `term`).
-    void reset(Index index, Term term, GroupTime time);
+    auto reset(Index index, Term term, GroupTime time) -> void;
     /// Appends an entry; its index must be `lastIndex() + 1`.
-    void append(Entry entry);
+    auto append(Entry entry) -> void;
     /// Removes all entries with an index of at least `from`.
-    void truncateFrom(Index from);
+    auto truncateFrom(Index from) -> void;
     /// Removes entries up to and including `upTo`.
-    void discardUpTo(Index upTo);
+    auto discardUpTo(Index upTo) -> void;
 
     [[nodiscard]] auto firstIndex() const -> Index
     {
--- a/libs/consensus/include/heathergate/consensus/internal/group_clock.h
+++ b/libs/consensus/include/heathergate/consensus/internal/group_clock.h
@@ -10,7 +10,7 @@
 {
 public:
     /// Takes in a group time seen at `now`.
-    void observe(GroupTime time, TimePoint now)
+    auto observe(GroupTime time, TimePoint now) -> void
     {
         if (m_started && time <= at(now))
             return;
--- a/libs/consensus/include/heathergate/consensus/replica.h
+++ b/libs/consensus/include/heathergate/consensus/replica.h
@@ -27,11 +27,11 @@
             Random random, TimePoint now);
 
     /// Takes in a message from another replica.
-    void receive(TimePoint now, const Envelope &envelope);
+    auto receive(TimePoint now, const Envelope &envelope) -> void;
     /// Lets time pass: elections, heartbeats, check of quorum. Called at `nextDeadline`.
-    void tick(TimePoint now);
+    auto tick(TimePoint now) -> void;
     /// Says that all writes up to `number` are durable.
-    void synced(TimePoint now, std::uint64_t number);
+    auto synced(TimePoint now, std::uint64_t number) -> void;
 
     /// Appends a command. Returns its index; it counts only once it is committed. Fails with
     /// `Code::NotLeader`.
@@ -43,7 +43,7 @@
     /// Removes a voter or learner.
     [[nodiscard]] auto removeMember(TimePoint now, const ReplicaId &id) -> Result<Index>;
     /// Hands leadership to the voter that is most up to date. Proposals are refused meanwhile.
-    void transferLeadership(TimePoint now);
+    auto transferLeadership(TimePoint now) -> void;
 
     /// Replaces entries up to `index`, which must be applied, by a snapshot. Returns its position.
     [[nodiscard]] auto compact(Index index, std::shared_ptr<const std::string> state)
@@ -118,54 +118,55 @@
     };
 
     // Elections.
-    void startPreVote(TimePoint now);
-    void startElection(TimePoint now, bool transfer);
-    void requestVotes(bool preVote, bool transfer);
-    void handle(TimePoint now, const ReplicaId &from, const VoteRequest &request);
-    void handle(TimePoint now, const ReplicaId &from, const VoteReply &reply);
-    void handle(TimePoint now, const ReplicaId &from, const TransferRequest &request);
-    void becomeFollower(TimePoint now, Term term, std::optional<ReplicaId> leader);
-    void becomeLeader(TimePoint now);
-    void resetElectionTimer(TimePoint now);
+    auto startPreVote(TimePoint now) -> void;
+    auto startElection(TimePoint now, bool transfer) -> void;
+    auto requestVotes(bool preVote, bool transfer) -> void;
+    auto handle(TimePoint now, const ReplicaId &from, const VoteRequest &request) -> void;
+    auto handle(TimePoint now, const ReplicaId &from, const VoteReply &reply) -> void;
+    auto handle(TimePoint now, const ReplicaId &from, const TransferRequest &request) -> void;
+    auto becomeFollower(TimePoint now, Term term, std::optional<ReplicaId> leader) -> void;
+    auto becomeLeader(TimePoint now) -> void;
+    auto resetElectionTimer(TimePoint now) -> void;
     [[nodiscard]] auto hearsLeader(TimePoint now) const -> bool;
     [[nodiscard]] auto isUpToDate(Index lastIndex, Term lastTerm) const -> bool;
 
     // Replication.
-    void handle(TimePoint now, const ReplicaId &from, const AppendRequest &request);
-    void handle(TimePoint now, const ReplicaId &from, const AppendReply &reply);
+    auto handle(TimePoint now, const ReplicaId &from, const AppendRequest &request) -> void;
+    auto handle(TimePoint now, const ReplicaId &from, const AppendReply &reply) -> void;
     /// Notes a member's answer to this leader; null if it is not one, or shows a newer term.
     [[nodiscard]] auto answeringMember(TimePoint now, const ReplicaId &from, Term term,
                                        TimePoint round) -> internal::Progress *;
-    void acceptEntries(const std::vector<Entry> &entries);
-    void sendAppend(TimePoint now, const ReplicaId &to, internal::Progress &progress,
-                    bool withEntries);
-    void sendPendingEntries(TimePoint now);
-    void sendHeartbeats(TimePoint now);
-    void advanceCommit();
-    void commitUpTo(Index index);
-    void acknowledgeDurable();
+    auto acceptEntries(const std::vector<Entry> &entries) -> void;
+    auto sendAppend(TimePoint now, const ReplicaId &to, internal::Progress &progress,
+                    bool withEntries) -> void;
+    auto sendPendingEntries(TimePoint now) -> void;
+    auto sendHeartbeats(TimePoint now) -> void;
+    auto advanceCommit() -> void;
+    auto commitUpTo(Index index) -> void;
+    auto acknowledgeDurable() -> void;
     [[nodiscard]] auto appendLocal(TimePoint now, EntryKind kind, std::string payload) -> Index;
     [[nodiscard]] auto newestQuorumRound(TimePoint now) const -> TimePoint;
 
     // Snapshot transfer.
-    void handle(TimePoint now, const ReplicaId &from, const SnapshotPiece &piece);
-    void handle(TimePoint now, const ReplicaId &from, const SnapshotReply &reply);
-    void sendSnapshotPiece(TimePoint now, const ReplicaId &to, internal::Progress &progress);
-    void install(const IncomingSnapshot &incoming);
+    auto handle(TimePoint now, const ReplicaId &from, const SnapshotPiece &piece) -> void;
+    auto handle(TimePoint now, const ReplicaId &from, const SnapshotReply &reply) -> void;
+    auto sendSnapshotPiece(TimePoint now, const ReplicaId &to, internal::Progress &progress)
+        -> void;
+    auto install(const IncomingSnapshot &incoming) -> void;
 
     // Membership.
     [[nodiscard]] auto proposeConfiguration(TimePoint now, Configuration next) -> Result<Index>;
     [[nodiscard]] auto mayChangeMembers() const -> Result<void>;
-    void useConfiguration(Index index, Configuration configuration);
-    void dropConfigurationsFrom(Index index);
-    void syncProgressWithMembers();
+    auto useConfiguration(Index index, Configuration configuration) -> void;
+    auto dropConfigurationsFrom(Index index) -> void;
+    auto syncProgressWithMembers() -> void;
     [[nodiscard]] auto configurationAt(Index index) const -> Configuration;
 
     // Output.
-    void send(const ReplicaId &to, Message message);
-    void sendAfterWrites(const ReplicaId &to, Message message);
-    void writeHardState();
-    void writeEntries(std::vector<Entry> entries);
+    auto send(const ReplicaId &to, Message message) -> void;
+    auto sendAfterWrites(const ReplicaId &to, Message message) -> void;
+    auto writeHardState() -> void;
+    auto writeEntries(std::vector<Entry> entries) -> void;
     auto addWrite(StorageWrite write) -> std::uint64_t;
     [[nodiscard]] auto termCommitted() const -> bool;
 
--- a/libs/consensus/src/election.cpp
+++ b/libs/consensus/src/election.cpp
@@ -2,7 +2,7 @@
 
 namespace heathergate::consensus {
 
-void Replica::startPreVote(TimePoint now)
+auto Replica::startPreVote(TimePoint now) -> void
 {
     m_leader.reset();
     m_preVoting = true;
@@ -15,7 +15,7 @@
     requestVotes(true, false);
 }
 
-void Replica::startElection(TimePoint now, bool transfer)
+auto Replica::startElection(TimePoint now, bool transfer) -> void
 {
     m_preVoting = false;
     m_role = Role::Candidate;
@@ -31,7 +31,7 @@
         requestVotes(false, transfer);
 }
 
-void Replica::requestVotes(bool preVote, bool transfer)
+auto Replica::requestVotes(bool preVote, bool transfer) -> void
 {
     VoteRequest request;
     request.term = m_hardState.term + (preVote ? 1 : 0);
@@ -45,7 +45,7 @@
     }
 }
 
-void Replica::handle(TimePoint now, const ReplicaId &from, const VoteRequest &request)
+auto Replica::handle(TimePoint now, const ReplicaId &from, const VoteRequest &request) -> void
 {
     if (!m_configuration.isVoter(from))
         return;
@@ -73,7 +73,7 @@
     send(from, VoteReply{m_hardState.term, granted, false});
 }
 
-void Replica::handle(TimePoint now, const ReplicaId &from, const VoteReply &reply)
+auto Replica::handle(TimePoint now, const ReplicaId &from, const VoteReply &reply) -> void
 {
     if (reply.term > m_hardState.term && !reply.preVote) {
         becomeFollower(now, reply.term, std::nullopt);
@@ -93,13 +93,13 @@
         becomeLeader(now);
 }
 
-void Replica::handle(TimePoint now, const ReplicaId &from, const TransferRequest &request)
+auto Replica::handle(TimePoint now, const ReplicaId &from, const TransferRequest &request) -> void
 {
     if (request.term == m_hardState.term && m_leader == from && m_configuration.isVoter(m_self))
         startElection(now, true);
 }
 
-void Replica::becomeFollower(TimePoint now, Term term, std::optional<ReplicaId> leader)
+auto Replica::becomeFollower(TimePoint now, Term term, std::optional<ReplicaId> leader) -> void
 {
     if (m_role == Role::Leader || m_leader != leader)
         m_effects.leadershipChanged = true;
@@ -118,7 +118,7 @@
     writeHardState();
 }
 
-void Replica::becomeLeader(TimePoint now)
+auto Replica::becomeLeader(TimePoint now) -> void
 {
     m_role = Role::Leader;
     m_leader = m_self;
@@ -132,7 +132,7 @@
     m_termStart = appendLocal(now, EntryKind::Empty, {});
 }
 
-void Replica::resetElectionTimer(TimePoint now)
+auto Replica::resetElectionTimer(TimePoint now) -> void
 {
     const auto spread = static_cast<std::uint64_t>(m_settings.electionTimeout.count());
     m_electionDeadline = now + m_settings.electionTimeout
--- a/libs/consensus/src/entry_log.cpp
+++ b/libs/consensus/src/entry_log.cpp
@@ -2,7 +2,7 @@
 
 namespace heathergate::consensus::internal {
 
-void EntryLog::reset(Index index, Term term, GroupTime time)
+auto EntryLog::reset(Index index, Term term, GroupTime time) -> void
 {
     m_entries.clear();
     m_baseIndex = index;
@@ -10,18 +10,18 @@
     m_baseTime = time;
 }
 
-void EntryLog::append(Entry entry)
+auto EntryLog::append(Entry entry) -> void
 {
     m_entries.push_back(std::move(entry));
 }
 
-void EntryLog::truncateFrom(Index from)
+auto EntryLog::truncateFrom(Index from) -> void
 {
     while (!m_entries.empty() && m_entries.back().index >= from)
         m_entries.pop_back();
 }
 
-void EntryLog::discardUpTo(Index upTo)
+auto EntryLog::discardUpTo(Index upTo) -> void
 {
     while (!m_entries.empty() && m_entries.front().index <= upTo) {
         m_baseIndex = m_entries.front().index;
--- a/libs/consensus/src/membership_change.cpp
+++ b/libs/consensus/src/membership_change.cpp
@@ -60,7 +60,7 @@
     return {};
 }
 
-void Replica::useConfiguration(Index index, Configuration configuration)
+auto Replica::useConfiguration(Index index, Configuration configuration) -> void
 {
     m_configuration = configuration;
     m_configurations.push_back({index, std::move(configuration)});
@@ -68,14 +68,14 @@
         syncProgressWithMembers();
 }
 
-void Replica::dropConfigurationsFrom(Index index)
+auto Replica::dropConfigurationsFrom(Index index) -> void
 {
     while (m_configurations.size() > 1 && m_configurations.back().index >= index)
         m_configurations.pop_back();
     m_configuration = m_configurations.back().configuration;
 }
 
-void Replica::syncProgressWithMembers()
+auto Replica::syncProgressWithMembers() -> void
 {
     const auto isMember = [this](const ReplicaId &id) {
         return m_configuration.isVoter(id) || m_configuration.isLearner(id);
--- a/libs/consensus/src/replica.cpp
+++ b/libs/consensus/src/replica.cpp
@@ -35,14 +35,14 @@
     resetElectionTimer(now);
 }
 
-void Replica::receive(TimePoint now, const Envelope &envelope)
+auto Replica::receive(TimePoint now, const Envelope &envelope) -> void
 {
     if (envelope.to != m_self)
         return;
     std::visit([&](const auto &message) { handle(now, envelope.from, message); }, envelope.message);
 }
 
-void Replica::tick(TimePoint now)
+auto Replica::tick(TimePoint now) -> void
 {
     if (m_role == Role::Leader) {
         const auto quorumLost = now - newestQuorumRound(now) > m_settings.electionTimeout;
@@ -66,7 +66,7 @@
         startPreVote(now);
 }
 
-void Replica::synced(TimePoint now, std::uint64_t number)
+auto Replica::synced(TimePoint now, std::uint64_t number) -> void
 {
     m_syncedWrite = std::max(m_syncedWrite, number);
     while (!m_pendingWrites.empty() && m_pendingWrites.front().number <= number) {
@@ -94,7 +94,7 @@
     return appendLocal(now, EntryKind::Command, std::move(payload));
 }
 
-void Replica::transferLeadership(TimePoint now)
+auto Replica::transferLeadership(TimePoint now) -> void
 {
     if (m_role != Role::Leader || m_configuration.voters.size() < 2)
         return;
@@ -160,7 +160,7 @@
     return deadline;
 }
 
-void Replica::send(const ReplicaId &to, Message message)
+auto Replica::send(const ReplicaId &to, Message message) -> void
 {
     if (m_lastHardStateWrite > m_syncedWrite)
         m_held.push_back({m_lastHardStateWrite, {m_self, to, std::move(message)}});
@@ -168,14 +168,14 @@
         m_effects.messages.push_back({m_self, to, std::move(message)});
 }
 
-void Replica::writeHardState()
+auto Replica::writeHardState() -> void
 {
     StorageWrite write;
     write.hardState = m_hardState;
     m_lastHardStateWrite = addWrite(std::move(write));
 }
 
-void Replica::writeEntries(std::vector<Entry> entries)
+auto Replica::writeEntries(std::vector<Entry> entries) -> void
 {
     StorageWrite write;
     write.entries = std::move(entries);
--- a/libs/consensus/src/replication.cpp
+++ b/libs/consensus/src/replication.cpp
@@ -2,7 +2,7 @@
 
 namespace heathergate::consensus {
 
-void Replica::handle(TimePoint now, const ReplicaId &from, const AppendRequest &request)
+auto Replica::handle(TimePoint now, const ReplicaId &from, const AppendRequest &request) -> void
 {
     if (request.term < m_hardState.term) {
         send(from, AppendReply{m_hardState.term, false, m_log.lastIndex(), request.round});
@@ -30,7 +30,7 @@
     send(from, AppendReply{m_hardState.term, true, std::min(m_durable, m_verified), request.round});
 }
 
-void Replica::acceptEntries(const std::vector<Entry> &entries)
+auto Replica::acceptEntries(const std::vector<Entry> &entries) -> void
 {
     std::vector<Entry> added;
     for (const auto &entry : entries) {
@@ -70,7 +70,7 @@
     return &progress;
 }
 
-void Replica::handle(TimePoint now, const ReplicaId &from, const AppendReply &reply)
+auto Replica::handle(TimePoint now, const ReplicaId &from, const AppendReply &reply) -> void
 {
     auto *member = answeringMember(now, from, reply.term, reply.round);
     if (member == nullptr)
@@ -91,8 +91,8 @@
     advanceCommit();
 }
 
-void Replica::sendAppend(TimePoint now, const ReplicaId &to, internal::Progress &progress,
-                         bool withEntries)
+auto Replica::sendAppend(TimePoint now, const ReplicaId &to, internal::Progress &progress,
+                         bool withEntries) -> void
 {
     const auto previousTerm = m_log.termAt(progress.next - 1);
     if (!previousTerm) {
@@ -114,7 +114,7 @@
     send(to, std::move(request));
 }
 
-void Replica::sendPendingEntries(TimePoint now)
+auto Replica::sendPendingEntries(TimePoint now) -> void
 {
     for (auto &[id, progress] : m_progress) {
         while (!progress.probing && progress.next <= m_log.lastIndex()
@@ -124,7 +124,7 @@
     }
 }
 
-void Replica::sendHeartbeats(TimePoint now)
+auto Replica::sendHeartbeats(TimePoint now) -> void
 {
     for (auto &[id, progress] : m_progress) {
         if (now - progress.lastSent < m_settings.heartbeatInterval)
@@ -136,7 +136,7 @@
     }
 }
 
-void Replica::advanceCommit()
+auto Replica::advanceCommit() -> void
 {
     std::vector<Index> matches;
     for (const auto &voter : m_configuration.voters) {
@@ -157,7 +157,7 @@
     commitUpTo(index);
 }
 
-void Replica::commitUpTo(Index index)
+auto Replica::commitUpTo(Index index) -> void
 {
     while (m_commit < index) {
         ++m_commit;
@@ -173,7 +173,7 @@
     }
 }
 
-void Replica::acknowledgeDurable()
+auto Replica::acknowledgeDurable() -> void
 {
     if (!m_leader || *m_leader == m_self)
         return;
--- a/libs/consensus/src/snapshot_transfer.cpp
+++ b/libs/consensus/src/snapshot_transfer.cpp
@@ -2,7 +2,8 @@
 
 namespace heathergate::consensus {
 
-void Replica::sendSnapshotPiece(TimePoint now, const ReplicaId &to, internal::Progress &progress)
+auto Replica::sendSnapshotPiece(TimePoint now, const ReplicaId &to, internal::Progress &progress)
+    -> void
 {
     progress.lastSent = now;
     if (!m_snapshot)
@@ -23,7 +24,7 @@
     send(to, std::move(piece));
 }
 
-void Replica::handle(TimePoint now, const ReplicaId &from, const SnapshotPiece &piece)
+auto Replica::handle(TimePoint now, const ReplicaId &from, const SnapshotPiece &piece) -> void
 {
     if (piece.term < m_hardState.term) {
         send(from, AppendReply{m_hardState.term, false, m_log.lastIndex(), piece.round});
@@ -57,7 +58,7 @@
         install(incoming);
 }
 
-void Replica::install(const IncomingSnapshot &incoming)
+auto Replica::install(const IncomingSnapshot &incoming) -> void
 {
     Snapshot snapshot{incoming.meta, std::make_shared<const std::string>(incoming.bytes)};
     const auto &meta = snapshot.meta;
@@ -75,7 +76,7 @@
     addWrite(std::move(write));
 }
 
-void Replica::handle(TimePoint now, const ReplicaId &from, const SnapshotReply &reply)
+auto Replica::handle(TimePoint now, const ReplicaId &from, const SnapshotReply &reply) -> void
 {
     auto *member = answeringMember(now, from, reply.term, reply.round);
     if (member == nullptr)
--- a/libs/control/include/heathergate/control/control_state.h
+++ b/libs/control/include/heathergate/control/control_state.h
@@ -18,7 +18,7 @@
     auto apply(Revision revision, GroupTime time, const ControlCommand &command) -> ControlOutcome;
 
     /// Moves on to a position whose entry holds no command.
-    void skip(Revision revision)
+    auto skip(Revision revision) -> void
     {
         m_revision = revision;
     }
@@ -65,8 +65,8 @@
     /// Returns whether a request with this fingerprint was running when an upstream died.
     [[nodiscard]] auto isSuspect(const std::string &fingerprint) const -> bool;
 
-    friend void to_json(nlohmann::json &json, const ControlState &state);
-    friend void from_json(const nlohmann::json &json, ControlState &state);
+    friend auto to_json(nlohmann::json &json, const ControlState &state) -> void;
+    friend auto from_json(const nlohmann::json &json, ControlState &state) -> void;
 
     /// Upstream incarnations that died while a request ran there.
     struct Suspicion
@@ -107,7 +107,7 @@
     [[nodiscard]] auto accepted() const -> ControlOutcome;
     [[nodiscard]] auto refused(Code code, std::string detail) const -> ControlOutcome;
     [[nodiscard]] auto rememberedOutcome(const std::string &editId) const -> const ControlOutcome *;
-    void remember(const std::string &editId, const ControlOutcome &outcome);
+    auto remember(const std::string &editId, const ControlOutcome &outcome) -> void;
 
     Revision m_revision = 0;
     GroupTime m_time{};
--- a/libs/control/src/control_state.cpp
+++ b/libs/control/src/control_state.cpp
@@ -261,7 +261,7 @@
     return found == m_outcomes.end() ? nullptr : &found->second;
 }
 
-void ControlState::remember(const std::string &editId, const ControlOutcome &outcome)
+auto ControlState::remember(const std::string &editId, const ControlOutcome &outcome) -> void
 {
     m_edits.push_back({editId, outcome});
     m_outcomes[editId] = outcome;
@@ -271,7 +271,7 @@
     m_edits.pop_front();
 }
 
-void to_json(nlohmann::json &json, const ControlState &state)
+auto to_json(nlohmann::json &json, const ControlState &state) -> void
 {
     json = {{"revision", state.m_revision},   {"time", state.m_time},
             {"rows", state.m_rows},           {"keys", state.m_keys},
@@ -281,7 +281,7 @@
             {"edits", state.m_edits}};
 }
 
-void from_json(const nlohmann::json &json, ControlState &state)
+auto from_json(const nlohmann::json &json, ControlState &state) -> void
 {
     json.at("revision").get_to(state.m_revision);
     json.at("time").get_to(state.m_time);
--- a/libs/core/include/heathergate/core/codec.h
+++ b/libs/core/include/heathergate/core/codec.h
@@ -34,7 +34,7 @@
 namespace internal {
 
 template <typename Variant, std::size_t index = 0>
-void variantFromJson(const nlohmann::json &json, std::size_t wanted, Variant &value)
+auto variantFromJson(const nlohmann::json &json, std::size_t wanted, Variant &value) -> void
 {
     if constexpr (index < std::variant_size_v<Variant>) {
         if (index == wanted)
@@ -83,12 +83,12 @@
 template <>
 struct adl_serializer<heathergate::Duration>
 {
-    static void to_json(json &out, const heathergate::Duration &value)
+    static auto to_json(json &out, const heathergate::Duration &value) -> void
     {
         out = value.count();
     }
 
-    static void from_json(const json &in, heathergate::Duration &value)
+    static auto from_json(const json &in, heathergate::Duration &value) -> void
     {
         value = heathergate::Duration(in.get<std::int64_t>());
     }
@@ -98,7 +98,7 @@
 template <>
 struct adl_serializer<heathergate::Error>
 {
-    static void to_json(json &out, const heathergate::Error &error)
+    static auto to_json(json &out, const heathergate::Error &error) -> void
     {
         out = json{{"code", static_cast<int>(error.code)},
                    {"detail", error.detail},
@@ -106,7 +106,7 @@
                    {"retryAfter", error.retryAfter.count()}};
     }
 
-    static void from_json(const json &in, heathergate::Error &error)
+    static auto from_json(const json &in, heathergate::Error &error) -> void
     {
         error.code = static_cast<heathergate::Code>(in.at("code").get<int>());
         error.detail = in.at("detail").get<std::string>();
@@ -118,7 +118,7 @@
 template <typename T>
 struct adl_serializer<std::optional<T>>
 {
-    static void to_json(json &out, const std::optional<T> &value)
+    static auto to_json(json &out, const std::optional<T> &value) -> void
     {
         if (value)
             out = *value;
@@ -126,7 +126,7 @@
             out = nullptr;
     }
 
-    static void from_json(const json &in, std::optional<T> &value)
+    static auto from_json(const json &in, std::optional<T> &value) -> void
     {
         if (in.is_null())
             value.reset();
--- a/libs/core/include/heathergate/core/ids.h
+++ b/libs/core/include/heathergate/core/ids.h
@@ -28,12 +28,12 @@
 
     auto operator<=>(const TextId &) const = default;
 
-    friend void to_json(nlohmann::json &json, const TextId &id)
+    friend auto to_json(nlohmann::json &json, const TextId &id) -> void
     {
         json = id.value;
     }
 
-    friend void from_json(const nlohmann::json &json, TextId &id)
+    friend auto from_json(const nlohmann::json &json, TextId &id) -> void
     {
         json.get_to(id.value);
     }
--- a/libs/core/include/heathergate/core/ring.h
+++ b/libs/core/include/heathergate/core/ring.h
@@ -16,7 +16,7 @@
 {
 public:
     /// Wakes the waiting thread; remembered if it is not waiting now.
-    void notify()
+    auto notify() -> void
     {
         {
             const std::lock_guard lock(m_mutex);
@@ -26,7 +26,7 @@
     }
 
     /// Waits for a notification, at most for `timeout`.
-    void wait(Duration timeout)
+    auto wait(Duration timeout) -> void
     {
         std::unique_lock lock(m_mutex);
         m_condition.wait_for(lock, timeout, [this] { return m_pending; });
--- a/libs/daemon/include/heathergate/daemon/entry_node.h
+++ b/libs/daemon/include/heathergate/daemon/entry_node.h
@@ -27,22 +27,23 @@
     auto operator=(const EntryNode &) -> EntryNode & = delete;
 
     /// Takes in a request; its answer comes as effects for `token`.
-    void httpRequest(TimePoint now, http::Token token, const http::Request &request);
+    auto httpRequest(TimePoint now, http::Token token, const http::Request &request) -> void;
     /// Says that the sender of a request is gone.
-    void httpClosed(TimePoint now, http::Token token);
+    auto httpClosed(TimePoint now, http::Token token) -> void;
     /// Takes in an event of a request to an upstream.
-    void upstreamEvent(TimePoint now, const http::ClientEvent &event);
+    auto upstreamEvent(TimePoint now, const http::ClientEvent &event) -> void;
     /// Takes in a message of another instance, or of the disk role of this one.
-    void peerMessage(TimePoint now, const InstanceId &from, const wire::PeerMessage &message);
+    auto peerMessage(TimePoint now, const InstanceId &from, const wire::PeerMessage &message)
+        -> void;
     /// Lets time pass.
-    void tick(TimePoint now);
+    auto tick(TimePoint now) -> void;
     /// Starts leaving the fleet: the directory no longer names this instance.
-    void drain(TimePoint now);
+    auto drain(TimePoint now) -> void;
     /// Returns whether the instance has left: nobody learns its address any more and nothing is
     /// under way.
     [[nodiscard]] auto isDrained(TimePoint now) const -> bool;
     /// Says goodbye to the fleet.
-    void leave(TimePoint now);
+    auto leave(TimePoint now) -> void;
 
     /// Returns and forgets the effects.
     [[nodiscard]] auto takeEffects() -> std::vector<Effect>;
@@ -56,13 +57,14 @@
     [[nodiscard]] auto isReady(TimePoint now) const -> bool;
 
 private:
-    void feedReceived(TimePoint now, const InstanceId &from, const wire::FeedMessage &message);
-    void takeInstanceLoads(const wire::FeedMessage &message);
-    void follow(TimePoint now);
-    void join(TimePoint now);
-    void checkMembership(TimePoint now);
-    void checkFreshness(TimePoint now);
-    void health(TimePoint now, http::Token token, bool readiness);
+    auto feedReceived(TimePoint now, const InstanceId &from, const wire::FeedMessage &message)
+        -> void;
+    auto takeInstanceLoads(const wire::FeedMessage &message) -> void;
+    auto follow(TimePoint now) -> void;
+    auto join(TimePoint now) -> void;
+    auto checkMembership(TimePoint now) -> void;
+    auto checkFreshness(TimePoint now) -> void;
+    auto health(TimePoint now, http::Token token, bool readiness) -> void;
 
     const Settings &m_settings;
     std::unique_ptr<internal::EntryContext> m_context;
--- a/libs/daemon/include/heathergate/daemon/group_client.h
+++ b/libs/daemon/include/heathergate/daemon/group_client.h
@@ -23,18 +23,18 @@
     }
 
     /// Sends a request to the leader of `group`.
-    void call(TimePoint now, GroupId group, wire::RequestKind kind, std::string body,
-              TimePoint deadline, Callback callback);
+    auto call(TimePoint now, GroupId group, wire::RequestKind kind, std::string body,
+              TimePoint deadline, Callback callback) -> void;
     /// Takes in a reply.
-    void receive(TimePoint now, const InstanceId &from, const wire::Reply &reply);
+    auto receive(TimePoint now, const InstanceId &from, const wire::Reply &reply) -> void;
     /// Lets time pass.
-    void tick(TimePoint now);
+    auto tick(TimePoint now) -> void;
     /// Returns the instance that is thought to lead a group.
     [[nodiscard]] auto leaderOf(GroupId group) -> InstanceId;
     /// Moves on to another host after a silent one.
-    void suspectLeader(GroupId group);
+    auto suspectLeader(GroupId group) -> void;
     /// Notes a leader learnt elsewhere.
-    void setLeader(GroupId group, const InstanceId &leader);
+    auto setLeader(GroupId group, const InstanceId &leader) -> void;
 
     /// Returns and forgets the messages to send.
     [[nodiscard]] auto takeMessages() -> std::vector<std::pair<InstanceId, wire::PeerMessage>>
@@ -54,7 +54,7 @@
         Callback callback;
     };
 
-    void send(TimePoint now, Pending &pending);
+    auto send(TimePoint now, Pending &pending) -> void;
 
     std::vector<InstanceId> m_hosts;
     Random m_random;
--- a/libs/daemon/include/heathergate/daemon/instance.h
+++ b/libs/daemon/include/heathergate/daemon/instance.h
@@ -22,15 +22,16 @@
     Instance(const Settings &settings, std::uint64_t bootId, std::unique_ptr<ReplicaHost> host,
              Random random);
 
-    void httpRequest(TimePoint now, http::Token token, const http::Request &request);
-    void httpClosed(TimePoint now, http::Token token);
-    void upstreamEvent(TimePoint now, const http::ClientEvent &event);
-    void peerMessage(TimePoint now, const InstanceId &from, const wire::PeerMessage &message);
-    void synced(TimePoint now, GroupId group, std::uint64_t number);
-    void tick(TimePoint now);
-    void drain(TimePoint now);
+    auto httpRequest(TimePoint now, http::Token token, const http::Request &request) -> void;
+    auto httpClosed(TimePoint now, http::Token token) -> void;
+    auto upstreamEvent(TimePoint now, const http::ClientEvent &event) -> void;
+    auto peerMessage(TimePoint now, const InstanceId &from, const wire::PeerMessage &message)
+        -> void;
+    auto synced(TimePoint now, GroupId group, std::uint64_t number) -> void;
+    auto tick(TimePoint now) -> void;
+    auto drain(TimePoint now) -> void;
     [[nodiscard]] auto isDrained(TimePoint now) const -> bool;
-    void leave(TimePoint now);
+    auto leave(TimePoint now) -> void;
 
     /// Returns and forgets what has to be done outside.
     [[nodiscard]] auto takeOutput(TimePoint now) -> InstanceOutput;
@@ -52,9 +53,10 @@
         int status = 0;
     };
 
-    void route(TimePoint now, const InstanceId &to, wire::PeerMessage message,
-               InstanceOutput &output, std::vector<std::pair<bool, wire::PeerMessage>> &local);
-    void sendOrder(UpstreamOrder order, InstanceOutput &output);
+    auto route(TimePoint now, const InstanceId &to, wire::PeerMessage message,
+               InstanceOutput &output, std::vector<std::pair<bool, wire::PeerMessage>> &local)
+        -> void;
+    auto sendOrder(UpstreamOrder order, InstanceOutput &output) -> void;
 
     const Settings &m_settings;
     EntryNode m_entry;
--- a/libs/daemon/include/heathergate/daemon/internal/call_runner.h
+++ b/libs/daemon/include/heathergate/daemon/internal/call_runner.h
@@ -20,24 +20,24 @@
     explicit CallRunner(EntryContext &context);
 
     /// Starts a call; its answer goes to the request's token.
-    void start(TimePoint now, CallRequest request);
+    auto start(TimePoint now, CallRequest request) -> void;
     /// Takes in an event of a request to an upstream. Returns false if it is not one of its own.
     auto upstreamEvent(TimePoint now, const http::ClientEvent &event) -> bool;
     /// Takes in a change of the control state.
-    void viewChanged(TimePoint now);
+    auto viewChanged(TimePoint now) -> void;
     /// Takes in loads that upstreams reported.
-    void loadsReported(TimePoint now, const std::vector<wire::UpstreamLoad> &loads);
+    auto loadsReported(TimePoint now, const std::vector<wire::UpstreamLoad> &loads) -> void;
     /// Sets this instance's part of the fleet's requests.
-    void setShare(double share)
+    auto setShare(double share) -> void
     {
         m_router.setShare(share);
     }
     /// Says that a caller is gone.
-    void callerGone(TimePoint now, http::Token token);
+    auto callerGone(TimePoint now, http::Token token) -> void;
     /// Lets time pass.
-    void tick(TimePoint now);
+    auto tick(TimePoint now) -> void;
     /// Notes that an upstream evicted a prefix from its cache.
-    void cacheEvicted(const UpstreamId &upstream, std::uint64_t prefix)
+    auto cacheEvicted(const UpstreamId &upstream, std::uint64_t prefix) -> void
     {
         m_router.evicted(upstream, prefix);
     }
@@ -67,60 +67,62 @@
     };
 
     // Admission.
-    void pumpAdmission(TimePoint now, const CustomerId &customer);
-    void requestAllowance(TimePoint now);
-    void allowanceReceived(TimePoint now, const limits::AllowanceReply &reply);
-    void admitted(TimePoint now, Call &call);
+    auto pumpAdmission(TimePoint now, const CustomerId &customer) -> void;
+    auto requestAllowance(TimePoint now) -> void;
+    auto allowanceReceived(TimePoint now, const limits::AllowanceReply &reply) -> void;
+    auto admitted(TimePoint now, Call &call) -> void;
 
     // Queue and choice of upstream.
-    void enqueue(TimePoint now, Call &call);
-    void pumpLane(TimePoint now, const std::string &lane);
+    auto enqueue(TimePoint now, Call &call) -> void;
+    auto pumpLane(TimePoint now, const std::string &lane) -> void;
     [[nodiscard]] auto queryFor(const Call &call) -> routing::RouteQuery;
-    void assign(TimePoint now, Call &call, const UpstreamId &upstream);
-    void releaseUpstream(TimePoint now, Call &call, routing::Ending ending);
+    auto assign(TimePoint now, Call &call, const UpstreamId &upstream) -> void;
+    auto releaseUpstream(TimePoint now, Call &call, routing::Ending ending) -> void;
 
     // Intent.
-    void begin(TimePoint now, Call &call);
-    void begun(TimePoint now, std::uint64_t id, const Result<programs::ProgramOutcome> &outcome);
-    void beginRefused(TimePoint now, Call &call, const Error &error);
-    void withdrawIntent(TimePoint now, const programs::BeginCall &begin);
+    auto begin(TimePoint now, Call &call) -> void;
+    auto begun(TimePoint now, std::uint64_t id, const Result<programs::ProgramOutcome> &outcome)
+        -> void;
+    auto beginRefused(TimePoint now, Call &call, const Error &error) -> void;
+    auto withdrawIntent(TimePoint now, const programs::BeginCall &begin) -> void;
     [[nodiscard]] auto intentOf(const Call &call) const -> programs::BeginCall;
 
     // Attempt.
-    void send(TimePoint now, Call &call, const std::string &history);
+    auto send(TimePoint now, Call &call, const std::string &history) -> void;
     [[nodiscard]] auto modelRequest(const Call &call, const std::string &history) const
         -> http::Outgoing;
     [[nodiscard]] auto serviceRequest(const Call &call) const -> http::Outgoing;
-    void watchProgress(TimePoint now, std::uint64_t id, std::uint64_t outgoing);
-    void answerData(TimePoint now, Call &call, const std::string &bytes);
-    void modelChunk(Call &call, const std::string &data);
-    void passOnText(Call &call);
-    void attemptEnded(TimePoint now, Call &call, const http::AnswerEnd &end);
+    auto watchProgress(TimePoint now, std::uint64_t id, std::uint64_t outgoing) -> void;
+    auto answerData(TimePoint now, Call &call, const std::string &bytes) -> void;
+    auto modelChunk(Call &call, const std::string &data) -> void;
+    auto passOnText(Call &call) -> void;
+    auto attemptEnded(TimePoint now, Call &call, const http::AnswerEnd &end) -> void;
     auto cancelOutgoing(Call &call) -> bool;
-    void abandonAttempt(TimePoint now, Call &call, routing::Ending ending);
+    auto abandonAttempt(TimePoint now, Call &call, routing::Ending ending) -> void;
 
     // Failure.
-    void attemptFailed(TimePoint now, Call &call, bool sent, bool cut);
-    void probe(TimePoint now, Call &call);
-    void probeEnded(TimePoint now, Call &call, bool alive);
-    void retryOrGiveUp(TimePoint now, Call &call, bool sent);
-    void giveUp(TimePoint now, Call &call, programs::CallResult result, const Error &error);
+    auto attemptFailed(TimePoint now, Call &call, bool sent, bool cut) -> void;
+    auto probe(TimePoint now, Call &call) -> void;
+    auto probeEnded(TimePoint now, Call &call, bool alive) -> void;
+    auto retryOrGiveUp(TimePoint now, Call &call, bool sent) -> void;
+    auto giveUp(TimePoint now, Call &call, programs::CallResult result, const Error &error) -> void;
     /// Ends a call as not run or unknown, depending on whether it was ever sent.
-    void giveUp(TimePoint now, Call &call, const Error &error);
-    void deadlinePassed(TimePoint now, std::uint64_t id);
-    void detachCaller(Call &call, const Error &error);
+    auto giveUp(TimePoint now, Call &call, const Error &error) -> void;
+    auto deadlinePassed(TimePoint now, std::uint64_t id) -> void;
+    auto detachCaller(Call &call, const Error &error) -> void;
 
     // Outcome.
-    void complete(TimePoint now, Call &call);
+    auto complete(TimePoint now, Call &call) -> void;
     /// Records an outcome; a caller that has waited long for it is told `late`.
-    void record(TimePoint now, Call &call, const programs::FinishCall &finish, const Error &late,
-                RecordedHandler done);
-    void recorded(TimePoint now, std::uint64_t id, const Result<programs::ProgramOutcome> &outcome);
-    void deliver(Call &call);
-    void deliverRecorded(Call &call, const programs::ProgramOutcome &outcome);
-    void refuse(TimePoint now, Call &call, const Error &error);
-    void remove(TimePoint now, std::uint64_t id);
-    void noteOutcome(TimePoint now, const Call &call, const std::string &outcome);
+    auto record(TimePoint now, Call &call, const programs::FinishCall &finish, const Error &late,
+                RecordedHandler done) -> void;
+    auto recorded(TimePoint now, std::uint64_t id, const Result<programs::ProgramOutcome> &outcome)
+        -> void;
+    auto deliver(Call &call) -> void;
+    auto deliverRecorded(Call &call, const programs::ProgramOutcome &outcome) -> void;
+    auto refuse(TimePoint now, Call &call, const Error &error) -> void;
+    auto remove(TimePoint now, std::uint64_t id) -> void;
+    auto noteOutcome(TimePoint now, const Call &call, const std::string &outcome) -> void;
 
     [[nodiscard]] auto find(std::uint64_t id) -> Call *;
     [[nodiscard]] auto memoryOf(const programs::ProgramKey &key) -> ProgramMemory &;
--- a/libs/daemon/include/heathergate/daemon/internal/caller_api.h
+++ b/libs/daemon/include/heathergate/daemon/internal/caller_api.h
@@ -18,16 +18,16 @@
     auto handle(TimePoint now, http::Token token, const http::Request &request) -> bool;
 
 private:
-    void directory(http::Token token);
-    void startProgram(TimePoint now, http::Token token, const http::Request &request);
-    void showProgram(TimePoint now, http::Token token, const http::Request &request,
-                     const std::string &name);
-    void endProgram(TimePoint now, http::Token token, const http::Request &request,
-                    const std::string &name);
-    void modelCall(TimePoint now, http::Token token, const http::Request &request);
-    void serviceCall(TimePoint now, http::Token token, const http::Request &request);
-    void openCall(TimePoint now, http::Token token, const http::Request &request,
-                  const OpenRoute &route);
+    auto directory(http::Token token) -> void;
+    auto startProgram(TimePoint now, http::Token token, const http::Request &request) -> void;
+    auto showProgram(TimePoint now, http::Token token, const http::Request &request,
+                     const std::string &name) -> void;
+    auto endProgram(TimePoint now, http::Token token, const http::Request &request,
+                    const std::string &name) -> void;
+    auto modelCall(TimePoint now, http::Token token, const http::Request &request) -> void;
+    auto serviceCall(TimePoint now, http::Token token, const http::Request &request) -> void;
+    auto openCall(TimePoint now, http::Token token, const http::Request &request,
+                  const OpenRoute &route) -> void;
 
     [[nodiscard]] auto prepare(TimePoint now, http::Token token, const http::Request &request) const
         -> Result<CallRequest>;
--- a/libs/daemon/include/heathergate/daemon/internal/entry_context.h
+++ b/libs/daemon/include/heathergate/daemon/internal/entry_context.h
@@ -44,12 +44,12 @@
         return ++lastNumber;
     }
 
-    void respond(http::Token token, http::Response response)
+    auto respond(http::Token token, http::Response response) -> void
     {
         effects.emplace_back(Respond{token, std::move(response)});
     }
 
-    void refuse(http::Token token, const Error &error)
+    auto refuse(http::Token token, const Error &error) -> void
     {
         metrics.count("heathergate_refusals_total",
                       {{"code", std::to_string(static_cast<int>(error.code))}});
@@ -70,8 +70,8 @@
 
     /// Sends a program command to its shard; `done` gets the outcome or the error it carries.
     template <typename Done>
-    void applyProgram(TimePoint now, GroupId shard, const programs::ProgramCommand &command,
-                      TimePoint deadline, Done done)
+    auto applyProgram(TimePoint now, GroupId shard, const programs::ProgramCommand &command,
+                      TimePoint deadline, Done done) -> void
     {
         groups.call(now, shard, wire::RequestKind::Program, encodeVariant(command), deadline,
                     [done = std::move(done)](TimePoint at, Result<std::string> body) mutable {
@@ -81,8 +81,8 @@
 
     /// Sends a control command to the control group.
     template <typename Done>
-    void applyControl(TimePoint now, const control::ControlCommand &command, TimePoint deadline,
-                      Done done)
+    auto applyControl(TimePoint now, const control::ControlCommand &command, TimePoint deadline,
+                      Done done) -> void
     {
         groups.call(now, kControlGroup, wire::RequestKind::Control, encodeVariant(command),
                     deadline,
--- a/libs/daemon/include/heathergate/daemon/internal/operator_api.h
+++ b/libs/daemon/include/heathergate/daemon/internal/operator_api.h
@@ -17,34 +17,34 @@
     auto handle(TimePoint now, http::Token token, const http::Request &request) -> bool;
 
 private:
-    void getTable(http::Token token, const http::Request &request);
-    void putRow(TimePoint now, http::Token token, const http::Request &request,
-                const std::string &customer);
-    void putTable(TimePoint now, http::Token token, const http::Request &request);
-    void editNextRow(TimePoint now, http::Token token, std::vector<control::TableRow> rows,
-                     std::string editId, nlohmann::json results);
-    void listKeys(http::Token token);
-    void giveKey(TimePoint now, http::Token token, const http::Request &request);
-    void withdrawKey(TimePoint now, http::Token token, const std::string &id);
-    void listUpstreams(http::Token token);
-    void drainUpstream(TimePoint now, http::Token token, const http::Request &request,
-                       const std::string &id);
-    void giveOrder(TimePoint now, http::Token token, const http::Request &request,
-                   const std::string &id);
-    void listOrders(http::Token token);
-    void listInstances(TimePoint now, http::Token token);
-    void showGroup(TimePoint now, http::Token token, const std::string &group);
-    void replaceReplica(TimePoint now, http::Token token, const http::Request &request);
-    void showProgram(TimePoint now, http::Token token, const std::string &customer,
-                     const std::string &program);
-    void settleCall(TimePoint now, http::Token token, const http::Request &request);
-
-    void applyEdit(TimePoint now, http::Token token, const control::ControlCommand &command,
-                   bool wait);
-    void answerEdit(http::Token token, const control::ControlOutcome &outcome,
-                    const nlohmann::json &missing);
-    void waitInForce(TimePoint now, http::Token token, control::ControlOutcome outcome,
-                     TimePoint deadline);
+    auto getTable(http::Token token, const http::Request &request) -> void;
+    auto putRow(TimePoint now, http::Token token, const http::Request &request,
+                const std::string &customer) -> void;
+    auto putTable(TimePoint now, http::Token token, const http::Request &request) -> void;
+    auto editNextRow(TimePoint now, http::Token token, std::vector<control::TableRow> rows,
+                     std::string editId, nlohmann::json results) -> void;
+    auto listKeys(http::Token token) -> void;
+    auto giveKey(TimePoint now, http::Token token, const http::Request &request) -> void;
+    auto withdrawKey(TimePoint now, http::Token token, const std::string &id) -> void;
+    auto listUpstreams(http::Token token) -> void;
+    auto drainUpstream(TimePoint now, http::Token token, const http::Request &request,
+                       const std::string &id) -> void;
+    auto giveOrder(TimePoint now, http::Token token, const http::Request &request,
+                   const std::string &id) -> void;
+    auto listOrders(http::Token token) -> void;
+    auto listInstances(TimePoint now, http::Token token) -> void;
+    auto showGroup(TimePoint now, http::Token token, const std::string &group) -> void;
+    auto replaceReplica(TimePoint now, http::Token token, const http::Request &request) -> void;
+    auto showProgram(TimePoint now, http::Token token, const std::string &customer,
+                     const std::string &program) -> void;
+    auto settleCall(TimePoint now, http::Token token, const http::Request &request) -> void;
+
+    auto applyEdit(TimePoint now, http::Token token, const control::ControlCommand &command,
+                   bool wait) -> void;
+    auto answerEdit(http::Token token, const control::ControlOutcome &outcome,
+                    const nlohmann::json &missing) -> void;
+    auto waitInForce(TimePoint now, http::Token token, control::ControlOutcome outcome,
+                     TimePoint deadline) -> void;
     [[nodiscard]] auto editIdOf(const http::Request &request) -> std::string;
 
     EntryContext &m_context;
--- a/libs/daemon/include/heathergate/daemon/internal/timer_queue.h
+++ b/libs/daemon/include/heathergate/daemon/internal/timer_queue.h
@@ -13,13 +13,13 @@
 public:
     using Action = std::function<void(TimePoint)>;
 
-    void add(TimePoint at, Action action)
+    auto add(TimePoint at, Action action) -> void
     {
         m_actions.emplace(at, std::move(action));
     }
 
     /// Carries out all actions that are due.
-    void run(TimePoint now)
+    auto run(TimePoint now) -> void
     {
         while (!m_actions.empty() && m_actions.begin()->first <= now) {
             const auto action = std::move(m_actions.begin()->second);
--- a/libs/daemon/include/heathergate/daemon/internal/upstream_api.h
+++ b/libs/daemon/include/heathergate/daemon/internal/upstream_api.h
@@ -21,9 +21,9 @@
     [[nodiscard]] auto takeRenewals() -> std::vector<wire::UpstreamLoad>;
 
 private:
-    void announce(TimePoint now, http::Token token, const nlohmann::json &body);
-    void renew(http::Token token, const nlohmann::json &body);
-    void leave(TimePoint now, http::Token token, const nlohmann::json &body);
+    auto announce(TimePoint now, http::Token token, const nlohmann::json &body) -> void;
+    auto renew(http::Token token, const nlohmann::json &body) -> void;
+    auto leave(TimePoint now, http::Token token, const nlohmann::json &body) -> void;
 
     EntryContext &m_context;
     CallRunner &m_runner;
--- a/libs/daemon/include/heathergate/daemon/peer_network.h
+++ b/libs/daemon/include/heathergate/daemon/peer_network.h
@@ -33,7 +33,7 @@
     virtual ~PeerNetwork() = default;
 
     /// Sends a message; called by one thread. It is dropped if the ring is full.
-    virtual void send(PeerOutgoing outgoing) = 0;
+    virtual auto send(PeerOutgoing outgoing) -> void = 0;
 };
 
 } // namespace heathergate::daemon
--- a/libs/daemon/include/heathergate/daemon/replica_host.h
+++ b/libs/daemon/include/heathergate/daemon/replica_host.h
@@ -62,15 +62,15 @@
                 Random random, TimePoint now);
 
     /// Takes in a message from an instance.
-    void receive(TimePoint now, const InstanceId &from, const wire::PeerMessage &message);
+    auto receive(TimePoint now, const InstanceId &from, const wire::PeerMessage &message) -> void;
     /// Lets time pass.
-    void tick(TimePoint now);
+    auto tick(TimePoint now) -> void;
     /// Says that a group's writes up to `number` are durable.
-    void synced(TimePoint now, GroupId group, std::uint64_t number);
+    auto synced(TimePoint now, GroupId group, std::uint64_t number) -> void;
     /// Says how an order to an upstream ended.
-    void orderDone(TimePoint now, const UpstreamOrder &order, bool acknowledged);
+    auto orderDone(TimePoint now, const UpstreamOrder &order, bool acknowledged) -> void;
     /// Hands over leadership of all groups.
-    void transferLeadership(TimePoint now);
+    auto transferLeadership(TimePoint now) -> void;
     /// Returns whether any group is led here.
     [[nodiscard]] auto leadsAny() const -> bool;
 
@@ -127,41 +127,43 @@
         int requests = 0;
     };
 
-    void handle(TimePoint now, const InstanceId &from, const wire::ConsensusMessage &message);
-    void handle(TimePoint now, const InstanceId &from, const wire::Request &request);
-    void handle(TimePoint now, const InstanceId &from, const wire::Follow &follow);
-    void handle(TimePoint, const InstanceId &, const wire::Reply &) {}
-    void handle(TimePoint, const InstanceId &, const wire::FeedMessage &) {}
+    auto handle(TimePoint now, const InstanceId &from, const wire::ConsensusMessage &message)
+        -> void;
+    auto handle(TimePoint now, const InstanceId &from, const wire::Request &request) -> void;
+    auto handle(TimePoint now, const InstanceId &from, const wire::Follow &follow) -> void;
+    auto handle(TimePoint, const InstanceId &, const wire::Reply &) -> void {}
+    auto handle(TimePoint, const InstanceId &, const wire::FeedMessage &) -> void {}
 
-    void collect(TimePoint now, GroupId id, Group &group);
-    void install(GroupId id, Group &group, const consensus::Snapshot &snapshot);
-    void apply(GroupId id, Group &group, const consensus::Entry &entry);
+    auto collect(TimePoint now, GroupId id, Group &group) -> void;
+    auto install(GroupId id, Group &group, const consensus::Snapshot &snapshot) -> void;
+    auto apply(GroupId id, Group &group, const consensus::Entry &entry) -> void;
     [[nodiscard]] auto applyControl(const consensus::Entry &entry) -> std::string;
     [[nodiscard]] auto applyProgram(Group &group, const consensus::Entry &entry) -> std::string;
-    void refuseWaiting(Group &group);
-    void reply(const InstanceId &to, wire::Reply reply);
+    auto refuseWaiting(Group &group) -> void;
+    auto reply(const InstanceId &to, wire::Reply reply) -> void;
     [[nodiscard]] auto leaderHint(const Group &group) const -> InstanceId;
-    void answerRead(TimePoint now, const InstanceId &from, const wire::Request &request,
-                    Group &group);
+    auto answerRead(TimePoint now, const InstanceId &from, const wire::Request &request,
+                    Group &group) -> void;
     [[nodiscard]] auto describeGroup(TimePoint now, GroupId id, const Group &group) const
         -> std::string;
 
     // Control leader's duties.
-    void feedFollower(const InstanceId &id, Follower &follower, std::int64_t requestedAt);
-    void addLoads(const InstanceId &id, Follower &follower, wire::FeedMessage &message) const;
-    void pushToFollowers(TimePoint now);
-    void detectFailures(TimePoint now);
-    void giveOrders(TimePoint now);
+    auto feedFollower(const InstanceId &id, Follower &follower, std::int64_t requestedAt) -> void;
+    auto addLoads(const InstanceId &id, Follower &follower, wire::FeedMessage &message) const
+        -> void;
+    auto pushToFollowers(TimePoint now) -> void;
+    auto detectFailures(TimePoint now) -> void;
+    auto giveOrders(TimePoint now) -> void;
 
     // Shard leader's duties.
-    void maintainShard(TimePoint now, Group &group);
-    void releaseMemory(TimePoint now, Group &group);
-    void driveReplacement(TimePoint now, GroupId id, Group &group);
-    void proposeControl(TimePoint now, const control::ControlCommand &command);
-    static void proposeProgram(TimePoint now, Group &group,
-                               const programs::ProgramCommand &command);
-
-    void compactIfNeeded();
+    auto maintainShard(TimePoint now, Group &group) -> void;
+    auto releaseMemory(TimePoint now, Group &group) -> void;
+    auto driveReplacement(TimePoint now, GroupId id, Group &group) -> void;
+    auto proposeControl(TimePoint now, const control::ControlCommand &command) -> void;
+    static auto proposeProgram(TimePoint now, Group &group, const programs::ProgramCommand &command)
+        -> void;
+
+    auto compactIfNeeded() -> void;
 
     HostSettings m_settings;
     std::map<GroupId, Group> m_groups;
--- a/libs/daemon/src/call_attempt.cpp
+++ b/libs/daemon/src/call_attempt.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-void CallRunner::send(TimePoint now, Call &call, const std::string &history)
+auto CallRunner::send(TimePoint now, Call &call, const std::string &history) -> void
 {
     call.phase = CallPhase::Running;
     call.answer = Answer{};
@@ -105,7 +105,7 @@
     return outgoing;
 }
 
-void CallRunner::watchProgress(TimePoint now, std::uint64_t id, std::uint64_t outgoing)
+auto CallRunner::watchProgress(TimePoint now, std::uint64_t id, std::uint64_t outgoing) -> void
 {
     auto *call = find(id);
     if (call == nullptr || call->outgoing != outgoing || call->phase != CallPhase::Running)
@@ -160,7 +160,7 @@
     return true;
 }
 
-void CallRunner::answerData(TimePoint now, Call &call, const std::string &bytes)
+auto CallRunner::answerData(TimePoint now, Call &call, const std::string &bytes) -> void
 {
     auto &answer = call.answer;
     if (call.phase != CallPhase::Running)
@@ -189,7 +189,7 @@
     }
 }
 
-void CallRunner::modelChunk(Call &call, const std::string &data)
+auto CallRunner::modelChunk(Call &call, const std::string &data) -> void
 {
     auto &answer = call.answer;
     if (data == "[DONE]") {
@@ -226,7 +226,7 @@
     }
 }
 
-void CallRunner::passOnText(Call &call)
+auto CallRunner::passOnText(Call &call) -> void
 {
     if (!call.request.stream || call.request.token == 0)
         return;
@@ -251,7 +251,7 @@
         call.request.token, eventOf(chunkOf(call.request, {{"content", added}}, nullptr))});
 }
 
-void CallRunner::attemptEnded(TimePoint now, Call &call, const http::AnswerEnd &end)
+auto CallRunner::attemptEnded(TimePoint now, Call &call, const http::AnswerEnd &end) -> void
 {
     const auto &answer = call.answer;
     const auto isModel = call.request.kind == programs::CallKind::Model;
@@ -299,13 +299,13 @@
     return true;
 }
 
-void CallRunner::abandonAttempt(TimePoint now, Call &call, routing::Ending ending)
+auto CallRunner::abandonAttempt(TimePoint now, Call &call, routing::Ending ending) -> void
 {
     if (cancelOutgoing(call))
         releaseUpstream(now, call, ending);
 }
 
-void CallRunner::attemptFailed(TimePoint now, Call &call, bool sent, bool cut)
+auto CallRunner::attemptFailed(TimePoint now, Call &call, bool sent, bool cut) -> void
 {
     releaseUpstream(now, call, routing::Ending::Failure);
     if (cut)
@@ -314,7 +314,7 @@
         retryOrGiveUp(now, call, sent);
 }
 
-void CallRunner::probe(TimePoint, Call &call)
+auto CallRunner::probe(TimePoint, Call &call) -> void
 {
     call.phase = CallPhase::Probing;
     call.answer = Answer{};
@@ -328,7 +328,7 @@
     m_context.effects.emplace_back(SendUpstream{std::move(outgoing)});
 }
 
-void CallRunner::probeEnded(TimePoint now, Call &call, bool alive)
+auto CallRunner::probeEnded(TimePoint now, Call &call, bool alive) -> void
 {
     if (alive) {
         retryOrGiveUp(now, call, true);
@@ -354,7 +354,7 @@
         });
 }
 
-void CallRunner::retryOrGiveUp(TimePoint now, Call &call, bool sent)
+auto CallRunner::retryOrGiveUp(TimePoint now, Call &call, bool sent) -> void
 {
     const auto &request = call.request;
     call.sentOnce = call.sentOnce || sent;
@@ -390,13 +390,14 @@
                      {}});
 }
 
-void CallRunner::giveUp(TimePoint now, Call &call, const Error &error)
+auto CallRunner::giveUp(TimePoint now, Call &call, const Error &error) -> void
 {
     giveUp(now, call, call.sentOnce ? programs::CallResult::Unknown : programs::CallResult::NotRun,
            error);
 }
 
-void CallRunner::giveUp(TimePoint now, Call &call, programs::CallResult result, const Error &error)
+auto CallRunner::giveUp(TimePoint now, Call &call, programs::CallResult result, const Error &error)
+    -> void
 {
     if (!call.request.program || call.attempt == 0) {
         refuse(now, call, error);
@@ -415,7 +416,7 @@
            });
 }
 
-void CallRunner::deadlinePassed(TimePoint now, std::uint64_t id)
+auto CallRunner::deadlinePassed(TimePoint now, std::uint64_t id) -> void
 {
     auto *call = find(id);
     if (call == nullptr)
@@ -456,7 +457,7 @@
     }
 }
 
-void CallRunner::deliver(Call &call)
+auto CallRunner::deliver(Call &call) -> void
 {
     const auto token = std::exchange(call.request.token, 0);
     if (token == 0)
@@ -483,7 +484,7 @@
     m_context.effects.emplace_back(EndStream{token, true});
 }
 
-void CallRunner::deliverRecorded(Call &call, const programs::ProgramOutcome &outcome)
+auto CallRunner::deliverRecorded(Call &call, const programs::ProgramOutcome &outcome) -> void
 {
     call.answer = Answer{};
     call.answer.status = outcome.status;
--- a/libs/daemon/src/call_queue.cpp
+++ b/libs/daemon/src/call_queue.cpp
@@ -45,7 +45,7 @@
 
 } // namespace
 
-void CallRunner::viewChanged(TimePoint now)
+auto CallRunner::viewChanged(TimePoint now) -> void
 {
     std::vector<routing::Target> targets;
     for (const auto &[id, record] : m_context.view.state().upstreams())
@@ -75,7 +75,7 @@
         pumpLane(now, lane);
 }
 
-void CallRunner::loadsReported(TimePoint now, const std::vector<wire::UpstreamLoad> &loads)
+auto CallRunner::loadsReported(TimePoint now, const std::vector<wire::UpstreamLoad> &loads) -> void
 {
     for (const auto &load : loads) {
         const auto *target = m_router.target(load.id);
@@ -91,7 +91,7 @@
         pumpLane(now, lane);
 }
 
-void CallRunner::enqueue(TimePoint now, Call &call)
+auto CallRunner::enqueue(TimePoint now, Call &call) -> void
 {
     call.phase = CallPhase::Queued;
     const auto &request = call.request;
@@ -117,7 +117,7 @@
     pumpLane(now, std::string(request.lane));
 }
 
-void CallRunner::pumpLane(TimePoint now, const std::string &lane)
+auto CallRunner::pumpLane(TimePoint now, const std::string &lane) -> void
 {
     const auto found = m_lanes.find(lane);
     if (found == m_lanes.end())
@@ -154,7 +154,7 @@
     return query;
 }
 
-void CallRunner::assign(TimePoint now, Call &call, const UpstreamId &upstream)
+auto CallRunner::assign(TimePoint now, Call &call, const UpstreamId &upstream) -> void
 {
     const auto &record = m_context.view.state().upstreams().at(upstream);
     call.upstream = upstream;
@@ -173,14 +173,14 @@
     send(now, call, "[]");
 }
 
-void CallRunner::releaseUpstream(TimePoint now, Call &call, routing::Ending ending)
+auto CallRunner::releaseUpstream(TimePoint now, Call &call, routing::Ending ending) -> void
 {
     m_router.finished(now, call.upstream, call.upstreamIncarnation, ending);
     m_context.timers.add(now,
                          [this, lane = call.request.lane](TimePoint at) { pumpLane(at, lane); });
 }
 
-void CallRunner::begin(TimePoint now, Call &call)
+auto CallRunner::begin(TimePoint now, Call &call) -> void
 {
     call.phase = CallPhase::Beginning;
     const auto intent = intentOf(call);
@@ -210,7 +210,7 @@
     return begin;
 }
 
-void CallRunner::withdrawIntent(TimePoint now, const programs::BeginCall &begin)
+auto CallRunner::withdrawIntent(TimePoint now, const programs::BeginCall &begin) -> void
 {
     // The command may still come into force. Sending it again tells whether it has, and then its
     // attempt, which nobody makes, is ended.
@@ -230,8 +230,8 @@
         });
 }
 
-void CallRunner::begun(TimePoint now, std::uint64_t id,
-                       const Result<programs::ProgramOutcome> &outcome)
+auto CallRunner::begun(TimePoint now, std::uint64_t id,
+                       const Result<programs::ProgramOutcome> &outcome) -> void
 {
     auto *call = find(id);
     if (call == nullptr || call->phase != CallPhase::Beginning)
@@ -263,7 +263,7 @@
     send(now, *call, outcome->history);
 }
 
-void CallRunner::beginRefused(TimePoint now, Call &call, const Error &error)
+auto CallRunner::beginRefused(TimePoint now, Call &call, const Error &error) -> void
 {
     const auto again = now + std::max(error.retryAfter, Duration(1000));
     if (error.code == Code::CallInProgress && again < call.request.deadline) {
--- a/libs/daemon/src/call_runner.cpp
+++ b/libs/daemon/src/call_runner.cpp
@@ -21,7 +21,7 @@
 {
 }
 
-void CallRunner::start(TimePoint now, CallRequest request)
+auto CallRunner::start(TimePoint now, CallRequest request) -> void
 {
     if (m_context.view.state().isPoison(request.fingerprint)) {
         m_context.refuse(request.token, Error{Code::PoisonRequest,
@@ -42,7 +42,7 @@
     pumpAdmission(now, CustomerId(call.request.customer));
 }
 
-void CallRunner::callerGone(TimePoint now, http::Token token)
+auto CallRunner::callerGone(TimePoint now, http::Token token) -> void
 {
     const auto found = m_byToken.find(token);
     if (found == m_byToken.end())
@@ -63,7 +63,7 @@
     }
 }
 
-void CallRunner::tick(TimePoint now)
+auto CallRunner::tick(TimePoint now) -> void
 {
     requestAllowance(now);
     std::vector<std::uint64_t> late;
@@ -91,7 +91,7 @@
     return std::min(next, std::max(m_allowance.nextReport(), m_nextAllowanceCheck));
 }
 
-void CallRunner::pumpAdmission(TimePoint now, const CustomerId &customer)
+auto CallRunner::pumpAdmission(TimePoint now, const CustomerId &customer) -> void
 {
     const auto *row = m_context.view.state().row(customer);
     auto &queue = m_admitting[customer];
@@ -115,7 +115,7 @@
         m_allowance.setWaiting(customer, row->limit(), queue.size());
 }
 
-void CallRunner::requestAllowance(TimePoint now)
+auto CallRunner::requestAllowance(TimePoint now) -> void
 {
     if (m_allowanceIncarnation != m_context.incarnation) {
         m_allowanceIncarnation = m_context.incarnation;
@@ -156,7 +156,7 @@
     }
 }
 
-void CallRunner::allowanceReceived(TimePoint now, const limits::AllowanceReply &reply)
+auto CallRunner::allowanceReceived(TimePoint now, const limits::AllowanceReply &reply) -> void
 {
     for (const auto &customer : m_allowance.receive(now, reply)) {
         pumpAdmission(now, customer);
@@ -178,7 +178,7 @@
     }
 }
 
-void CallRunner::admitted(TimePoint now, Call &call)
+auto CallRunner::admitted(TimePoint now, Call &call) -> void
 {
     m_context.metrics.observe("heathergate_admission_seconds",
                               {{"customer", call.request.customer.value}}, now - call.arrivedAt);
@@ -197,7 +197,7 @@
     enqueue(now, call);
 }
 
-void CallRunner::complete(TimePoint now, Call &call)
+auto CallRunner::complete(TimePoint now, Call &call) -> void
 {
     releaseUpstream(now, call, endingOf(call.answer));
     if (m_context.view.state().isSuspect(call.request.fingerprint))
@@ -238,8 +238,8 @@
            });
 }
 
-void CallRunner::record(TimePoint now, Call &call, const programs::FinishCall &finish,
-                        const Error &late, RecordedHandler done)
+auto CallRunner::record(TimePoint now, Call &call, const programs::FinishCall &finish,
+                        const Error &late, RecordedHandler done) -> void
 {
     // The ledger waits for the outcome, so this goes on across changes of leader and losses of
     // the quorum, long after the caller has been told.
@@ -254,8 +254,8 @@
     });
 }
 
-void CallRunner::recorded(TimePoint now, std::uint64_t id,
-                          const Result<programs::ProgramOutcome> &outcome)
+auto CallRunner::recorded(TimePoint now, std::uint64_t id,
+                          const Result<programs::ProgramOutcome> &outcome) -> void
 {
     auto *call = find(id);
     if (call == nullptr)
@@ -273,14 +273,14 @@
     remove(now, id);
 }
 
-void CallRunner::refuse(TimePoint now, Call &call, const Error &error)
+auto CallRunner::refuse(TimePoint now, Call &call, const Error &error) -> void
 {
     detachCaller(call, error);
     noteOutcome(now, call, "refused");
     remove(now, call.id);
 }
 
-void CallRunner::detachCaller(Call &call, const Error &error)
+auto CallRunner::detachCaller(Call &call, const Error &error) -> void
 {
     const auto token = std::exchange(call.request.token, 0);
     if (token == 0)
@@ -292,7 +292,7 @@
         m_context.refuse(token, error);
 }
 
-void CallRunner::remove(TimePoint now, std::uint64_t id)
+auto CallRunner::remove(TimePoint now, std::uint64_t id) -> void
 {
     const auto found = m_calls.find(id);
     if (found == m_calls.end())
@@ -330,7 +330,7 @@
         enqueue(now, *next);
 }
 
-void CallRunner::noteOutcome(TimePoint now, const Call &call, const std::string &outcome)
+auto CallRunner::noteOutcome(TimePoint now, const Call &call, const std::string &outcome) -> void
 {
     const telemetry::Labels labels{{"customer", call.request.customer.value},
                                    {"class", std::to_string(call.request.priority)}};
--- a/libs/daemon/src/caller_api.cpp
+++ b/libs/daemon/src/caller_api.cpp
@@ -180,7 +180,7 @@
     return true;
 }
 
-void CallerApi::directory(http::Token token)
+auto CallerApi::directory(http::Token token) -> void
 {
     struct Line
     {
@@ -211,7 +211,7 @@
                       jsonResponse({{"ttl_s", ttl.count()}, {"instances", std::move(instances)}}));
 }
 
-void CallerApi::startProgram(TimePoint now, http::Token token, const http::Request &request)
+auto CallerApi::startProgram(TimePoint now, http::Token token, const http::Request &request) -> void
 {
     const auto identity = authenticateCaller(now, m_context, request);
     if (!identity)
@@ -260,8 +260,8 @@
         });
 }
 
-void CallerApi::showProgram(TimePoint now, http::Token token, const http::Request &request,
-                            const std::string &name)
+auto CallerApi::showProgram(TimePoint now, http::Token token, const http::Request &request,
+                            const std::string &name) -> void
 {
     const auto identity = authenticateCaller(now, m_context, request);
     if (!identity)
@@ -277,8 +277,8 @@
         });
 }
 
-void CallerApi::endProgram(TimePoint now, http::Token token, const http::Request &request,
-                           const std::string &name)
+auto CallerApi::endProgram(TimePoint now, http::Token token, const http::Request &request,
+                           const std::string &name) -> void
 {
     const auto identity = authenticateCaller(now, m_context, request);
     if (!identity)
@@ -336,7 +336,7 @@
     return call;
 }
 
-void CallerApi::modelCall(TimePoint now, http::Token token, const http::Request &request)
+auto CallerApi::modelCall(TimePoint now, http::Token token, const http::Request &request) -> void
 {
     auto call = prepare(now, token, request);
     if (!call)
@@ -369,7 +369,7 @@
     m_runner.start(now, std::move(*call));
 }
 
-void CallerApi::serviceCall(TimePoint now, http::Token token, const http::Request &request)
+auto CallerApi::serviceCall(TimePoint now, http::Token token, const http::Request &request) -> void
 {
     auto call = prepare(now, token, request);
     if (!call)
@@ -402,8 +402,8 @@
     m_runner.start(now, std::move(*call));
 }
 
-void CallerApi::openCall(TimePoint now, http::Token token, const http::Request &request,
-                         const OpenRoute &route)
+auto CallerApi::openCall(TimePoint now, http::Token token, const http::Request &request,
+                         const OpenRoute &route) -> void
 {
     if (!isSafeMethod(request.method))
         return m_context.refuse(token, Error{Code::BadRequest, "method: must be GET"});
--- a/libs/daemon/src/entry_node.cpp
+++ b/libs/daemon/src/entry_node.cpp
@@ -37,7 +37,7 @@
 
 EntryNode::~EntryNode() = default;
 
-void EntryNode::httpRequest(TimePoint now, http::Token token, const http::Request &request)
+auto EntryNode::httpRequest(TimePoint now, http::Token token, const http::Request &request) -> void
 {
     if (request.path == "/health" || request.path == "/ready")
         return health(now, token, request.path == "/ready");
@@ -57,17 +57,18 @@
                                        "no route for " + request.method + " " + request.path});
 }
 
-void EntryNode::httpClosed(TimePoint now, http::Token token)
+auto EntryNode::httpClosed(TimePoint now, http::Token token) -> void
 {
     m_runner->callerGone(now, token);
 }
 
-void EntryNode::upstreamEvent(TimePoint now, const http::ClientEvent &event)
+auto EntryNode::upstreamEvent(TimePoint now, const http::ClientEvent &event) -> void
 {
     m_runner->upstreamEvent(now, event);
 }
 
-void EntryNode::peerMessage(TimePoint now, const InstanceId &from, const wire::PeerMessage &message)
+auto EntryNode::peerMessage(TimePoint now, const InstanceId &from, const wire::PeerMessage &message)
+    -> void
 {
     if (const auto *feed = std::get_if<wire::FeedMessage>(&message)) {
         feedReceived(now, from, *feed);
@@ -92,7 +93,7 @@
     m_nextFollow = std::min(m_nextFollow, now + kRedirectPause);
 }
 
-void EntryNode::tick(TimePoint now)
+auto EntryNode::tick(TimePoint now) -> void
 {
     m_context->timers.run(now);
     m_context->groups.tick(now);
@@ -102,7 +103,7 @@
     m_runner->tick(now);
 }
 
-void EntryNode::drain(TimePoint now)
+auto EntryNode::drain(TimePoint now) -> void
 {
     if (std::exchange(m_context->draining, true))
         return;
@@ -119,7 +120,7 @@
     return m_drainedAt && now >= *m_drainedAt && m_runner->active() == 0;
 }
 
-void EntryNode::leave(TimePoint now)
+auto EntryNode::leave(TimePoint now) -> void
 {
     m_context->applyControl(
         now, control::RemoveInstance{m_settings.id, m_context->incarnation, false},
@@ -168,8 +169,8 @@
     return m_context->incarnation != 0 && m_context->view.isFresh(now) && !m_context->draining;
 }
 
-void EntryNode::feedReceived(TimePoint now, const InstanceId &from,
-                             const wire::FeedMessage &message)
+auto EntryNode::feedReceived(TimePoint now, const InstanceId &from,
+                             const wire::FeedMessage &message) -> void
 {
     m_context->groups.setLeader(kControlGroup, from);
     m_lastAnswer = now;
@@ -186,7 +187,7 @@
         m_nextFollow = now;
 }
 
-void EntryNode::takeInstanceLoads(const wire::FeedMessage &message)
+auto EntryNode::takeInstanceLoads(const wire::FeedMessage &message) -> void
 {
     m_context->instanceLoads.clear();
     for (const auto &load : message.instances)
@@ -195,7 +196,7 @@
     m_runner->setShare(message.totalLoad > 0 ? static_cast<double>(own) / message.totalLoad : 1.0);
 }
 
-void EntryNode::follow(TimePoint now)
+auto EntryNode::follow(TimePoint now) -> void
 {
     m_nextFollow = now + kFollowInterval;
     if (now - m_lastAnswer > kFeedTimeout) {
@@ -212,7 +213,7 @@
         SendPeer{m_context->groups.leaderOf(kControlGroup), std::move(message)});
 }
 
-void EntryNode::join(TimePoint now)
+auto EntryNode::join(TimePoint now) -> void
 {
     if (std::exchange(m_joining, true))
         return;
@@ -227,7 +228,7 @@
         [this](TimePoint, const Result<control::ControlOutcome> &) { m_joining = false; });
 }
 
-void EntryNode::checkMembership(TimePoint now)
+auto EntryNode::checkMembership(TimePoint now) -> void
 {
     const auto &instances = m_context->view.state().instances();
     const auto own = instances.find(m_settings.id);
@@ -238,7 +239,7 @@
         join(now);
 }
 
-void EntryNode::checkFreshness(TimePoint now)
+auto EntryNode::checkFreshness(TimePoint now) -> void
 {
     const auto fresh = m_context->view.isFresh(now);
     if (m_wasFresh && !fresh)
@@ -246,7 +247,7 @@
     m_wasFresh = fresh;
 }
 
-void EntryNode::health(TimePoint now, http::Token token, bool readiness)
+auto EntryNode::health(TimePoint now, http::Token token, bool readiness) -> void
 {
     const auto ready = isReady(now);
     const auto status = readiness && !ready ? 503 : 200;
--- a/libs/daemon/src/group_client.cpp
+++ b/libs/daemon/src/group_client.cpp
@@ -9,8 +9,8 @@
 
 } // namespace
 
-void GroupClient::call(TimePoint now, GroupId group, wire::RequestKind kind, std::string body,
-                       TimePoint deadline, Callback callback)
+auto GroupClient::call(TimePoint now, GroupId group, wire::RequestKind kind, std::string body,
+                       TimePoint deadline, Callback callback) -> void
 {
     const auto id = ++m_lastId;
     auto &pending = m_pending[id];
@@ -20,7 +20,7 @@
     send(now, pending);
 }
 
-void GroupClient::receive(TimePoint now, const InstanceId &from, const wire::Reply &reply)
+auto GroupClient::receive(TimePoint now, const InstanceId &from, const wire::Reply &reply) -> void
 {
     const auto found = m_pending.find(reply.id);
     if (found == m_pending.end())
@@ -48,7 +48,7 @@
         callback(now, reply.body);
 }
 
-void GroupClient::tick(TimePoint now)
+auto GroupClient::tick(TimePoint now) -> void
 {
     std::vector<std::uint64_t> due;
     for (const auto &[id, pending] : m_pending) {
@@ -83,7 +83,7 @@
     return leader;
 }
 
-void GroupClient::suspectLeader(GroupId group)
+auto GroupClient::suspectLeader(GroupId group) -> void
 {
     if (m_hosts.empty())
         return;
@@ -94,7 +94,7 @@
         m_leaders[group] = *std::next(current);
 }
 
-void GroupClient::setLeader(GroupId group, const InstanceId &leader)
+auto GroupClient::setLeader(GroupId group, const InstanceId &leader) -> void
 {
     m_leaders[group] = leader;
 }
@@ -107,7 +107,7 @@
     return next;
 }
 
-void GroupClient::send(TimePoint now, Pending &pending)
+auto GroupClient::send(TimePoint now, Pending &pending) -> void
 {
     pending.sentTo = leaderOf(pending.request.group);
     pending.awaitsReply = true;
--- a/libs/daemon/src/instance.cpp
+++ b/libs/daemon/src/instance.cpp
@@ -25,17 +25,17 @@
 {
 }
 
-void Instance::httpRequest(TimePoint now, http::Token token, const http::Request &request)
+auto Instance::httpRequest(TimePoint now, http::Token token, const http::Request &request) -> void
 {
     m_entry.httpRequest(now, token, request);
 }
 
-void Instance::httpClosed(TimePoint now, http::Token token)
+auto Instance::httpClosed(TimePoint now, http::Token token) -> void
 {
     m_entry.httpClosed(now, token);
 }
 
-void Instance::upstreamEvent(TimePoint now, const http::ClientEvent &event)
+auto Instance::upstreamEvent(TimePoint now, const http::ClientEvent &event) -> void
 {
     const auto found = m_orders.find(event.id);
     if (found == m_orders.end()) {
@@ -54,7 +54,8 @@
         m_host->orderDone(now, done.order, acknowledged);
 }
 
-void Instance::peerMessage(TimePoint now, const InstanceId &from, const wire::PeerMessage &message)
+auto Instance::peerMessage(TimePoint now, const InstanceId &from, const wire::PeerMessage &message)
+    -> void
 {
     if (!isForHost(message))
         m_entry.peerMessage(now, from, message);
@@ -62,20 +63,20 @@
         m_host->receive(now, from, message);
 }
 
-void Instance::synced(TimePoint now, GroupId group, std::uint64_t number)
+auto Instance::synced(TimePoint now, GroupId group, std::uint64_t number) -> void
 {
     if (m_host)
         m_host->synced(now, group, number);
 }
 
-void Instance::tick(TimePoint now)
+auto Instance::tick(TimePoint now) -> void
 {
     m_entry.tick(now);
     if (m_host)
         m_host->tick(now);
 }
 
-void Instance::drain(TimePoint now)
+auto Instance::drain(TimePoint now) -> void
 {
     m_draining = true;
     m_entry.drain(now);
@@ -88,7 +89,7 @@
     return m_entry.isDrained(now);
 }
 
-void Instance::leave(TimePoint now)
+auto Instance::leave(TimePoint now) -> void
 {
     m_entry.leave(now);
 }
@@ -126,8 +127,9 @@
     return output;
 }
 
-void Instance::route(TimePoint, const InstanceId &to, wire::PeerMessage message,
+auto Instance::route(TimePoint, const InstanceId &to, wire::PeerMessage message,
                      InstanceOutput &output, std::vector<std::pair<bool, wire::PeerMessage>> &local)
+    -> void
 {
     if (to != m_settings.id) {
         output.effects.emplace_back(SendPeer{to, std::move(message)});
@@ -137,7 +139,7 @@
     local.emplace_back(forHost, std::move(message));
 }
 
-void Instance::sendOrder(UpstreamOrder order, InstanceOutput &output)
+auto Instance::sendOrder(UpstreamOrder order, InstanceOutput &output) -> void
 {
     http::Outgoing request;
     request.id = kOrderNumbers + ++m_lastOrder;
--- a/libs/daemon/src/operator_api.cpp
+++ b/libs/daemon/src/operator_api.cpp
@@ -110,7 +110,7 @@
     return true;
 }
 
-void OperatorApi::getTable(http::Token token, const http::Request &request)
+auto OperatorApi::getTable(http::Token token, const http::Request &request) -> void
 {
     const auto &state = m_context.view.state();
     if (request.header("accept").find("text/csv") != std::string::npos) {
@@ -125,8 +125,8 @@
     m_context.respond(token, jsonResponse({{"revision", state.revision()}, {"rows", rows}}));
 }
 
-void OperatorApi::putRow(TimePoint now, http::Token token, const http::Request &request,
-                         const std::string &customer)
+auto OperatorApi::putRow(TimePoint now, http::Token token, const http::Request &request,
+                         const std::string &customer) -> void
 {
     const auto remove = request.method == "DELETE";
     const auto body = parseJsonObject(request.body.empty() ? "{}" : request.body);
@@ -155,7 +155,7 @@
     applyEdit(now, token, edit, request.query.contains("wait"));
 }
 
-void OperatorApi::putTable(TimePoint now, http::Token token, const http::Request &request)
+auto OperatorApi::putTable(TimePoint now, http::Token token, const http::Request &request) -> void
 {
     auto rows = control::tableFromCsv(request.body);
     if (!rows)
@@ -164,8 +164,8 @@
     editNextRow(now, token, std::move(*rows), editIdOf(request), nlohmann::json::array());
 }
 
-void OperatorApi::editNextRow(TimePoint now, http::Token token, std::vector<control::TableRow> rows,
-                              std::string editId, nlohmann::json results)
+auto OperatorApi::editNextRow(TimePoint now, http::Token token, std::vector<control::TableRow> rows,
+                              std::string editId, nlohmann::json results) -> void
 {
     if (rows.empty())
         return m_context.respond(token, jsonResponse({{"rows", results}}));
@@ -191,7 +191,7 @@
         });
 }
 
-void OperatorApi::listKeys(http::Token token)
+auto OperatorApi::listKeys(http::Token token) -> void
 {
     auto keys = nlohmann::json::array();
     for (const auto &[hash, record] : m_context.view.state().keys()) {
@@ -204,7 +204,7 @@
     m_context.respond(token, jsonResponse({{"keys", keys}}));
 }
 
-void OperatorApi::giveKey(TimePoint now, http::Token token, const http::Request &request)
+auto OperatorApi::giveKey(TimePoint now, http::Token token, const http::Request &request) -> void
 {
     const auto body = parseJsonObject(request.body);
     if (!body)
@@ -240,12 +240,12 @@
         });
 }
 
-void OperatorApi::withdrawKey(TimePoint now, http::Token token, const std::string &id)
+auto OperatorApi::withdrawKey(TimePoint now, http::Token token, const std::string &id) -> void
 {
     applyEdit(now, token, control::WithdrawKey{"withdraw/" + id, KeyId(id)}, true);
 }
 
-void OperatorApi::listUpstreams(http::Token token)
+auto OperatorApi::listUpstreams(http::Token token) -> void
 {
     auto upstreams = nlohmann::json::array();
     for (const auto &[id, record] : m_context.view.state().upstreams())
@@ -260,15 +260,15 @@
     m_context.respond(token, jsonResponse({{"upstreams", upstreams}}));
 }
 
-void OperatorApi::drainUpstream(TimePoint now, http::Token token, const http::Request &request,
-                                const std::string &id)
+auto OperatorApi::drainUpstream(TimePoint now, http::Token token, const http::Request &request,
+                                const std::string &id) -> void
 {
     const auto end = request.query.contains("end");
     applyEdit(now, token, control::DrainUpstream{editIdOf(request), UpstreamId(id), !end}, true);
 }
 
-void OperatorApi::giveOrder(TimePoint now, http::Token token, const http::Request &request,
-                            const std::string &id)
+auto OperatorApi::giveOrder(TimePoint now, http::Token token, const http::Request &request,
+                            const std::string &id) -> void
 {
     const auto body = parseJsonObject(request.body);
     if (!body)
@@ -284,7 +284,7 @@
               false);
 }
 
-void OperatorApi::listOrders(http::Token token)
+auto OperatorApi::listOrders(http::Token token) -> void
 {
     constexpr const char *kStates[] = {"pending", "acknowledged", "withdrawn"};
     auto orders = nlohmann::json::array();
@@ -297,7 +297,7 @@
     m_context.respond(token, jsonResponse({{"orders", orders}}));
 }
 
-void OperatorApi::listInstances(TimePoint now, http::Token token)
+auto OperatorApi::listInstances(TimePoint now, http::Token token) -> void
 {
     m_context.groups.call(
         now, kControlGroup, wire::RequestKind::ReadGroup, {}, now + kEditDeadline,
@@ -324,7 +324,7 @@
         });
 }
 
-void OperatorApi::showGroup(TimePoint now, http::Token token, const std::string &group)
+auto OperatorApi::showGroup(TimePoint now, http::Token token, const std::string &group) -> void
 {
     const auto number = std::strtoul(group.c_str(), nullptr, 10);
     m_context.groups.call(
@@ -336,7 +336,8 @@
         });
 }
 
-void OperatorApi::replaceReplica(TimePoint now, http::Token token, const http::Request &request)
+auto OperatorApi::replaceReplica(TimePoint now, http::Token token, const http::Request &request)
+    -> void
 {
     const auto body = parseJsonObject(request.body);
     if (!body)
@@ -353,8 +354,8 @@
         false);
 }
 
-void OperatorApi::showProgram(TimePoint now, http::Token token, const std::string &customer,
-                              const std::string &program)
+auto OperatorApi::showProgram(TimePoint now, http::Token token, const std::string &customer,
+                              const std::string &program) -> void
 {
     const programs::ProgramKey key{CustomerId(customer), ProgramId(program)};
     m_context.groups.call(now, m_context.shardOf(key), wire::RequestKind::ReadProgram, encode(key),
@@ -367,7 +368,7 @@
                           });
 }
 
-void OperatorApi::settleCall(TimePoint now, http::Token token, const http::Request &request)
+auto OperatorApi::settleCall(TimePoint now, http::Token token, const http::Request &request) -> void
 {
     const auto body = parseJsonObject(request.body);
     if (!body)
@@ -397,8 +398,8 @@
         });
 }
 
-void OperatorApi::applyEdit(TimePoint now, http::Token token,
-                            const control::ControlCommand &command, bool wait)
+auto OperatorApi::applyEdit(TimePoint now, http::Token token,
+                            const control::ControlCommand &command, bool wait) -> void
 {
     m_context.applyControl(
         now, command, now + kEditDeadline,
@@ -411,8 +412,8 @@
         });
 }
 
-void OperatorApi::answerEdit(http::Token token, const control::ControlOutcome &outcome,
-                             const nlohmann::json &missing)
+auto OperatorApi::answerEdit(http::Token token, const control::ControlOutcome &outcome,
+                             const nlohmann::json &missing) -> void
 {
     nlohmann::json body{{"revision", outcome.revision}};
     if (outcome.row)
@@ -433,8 +434,8 @@
     m_context.respond(token, std::move(response));
 }
 
-void OperatorApi::waitInForce(TimePoint now, http::Token token, control::ControlOutcome outcome,
-                              TimePoint deadline)
+auto OperatorApi::waitInForce(TimePoint now, http::Token token, control::ControlOutcome outcome,
+                              TimePoint deadline) -> void
 {
     m_context.groups.call(
         now, kControlGroup, wire::RequestKind::ReadGroup, {}, deadline,
--- a/libs/daemon/src/peer_network.cpp
+++ b/libs/daemon/src/peer_network.cpp
@@ -39,9 +39,9 @@
 {
 public:
     virtual ~ConnectionOwner() = default;
-    virtual void established(Connection &connection) = 0;
-    virtual void received(Connection &connection, const std::string &body) = 0;
-    virtual void closed(Connection &connection) = 0;
+    virtual auto established(Connection &connection) -> void = 0;
+    virtual auto received(Connection &connection, const std::string &body) -> void = 0;
+    virtual auto closed(Connection &connection) -> void = 0;
 };
 
 /// One TCP connection to a peer.
@@ -83,7 +83,7 @@
         return reactor()->register_handler(this, READ_MASK | WRITE_MASK) == 0;
     }
 
-    void send(std::string_view body)
+    auto send(std::string_view body) -> void
     {
         m_session.send(body);
         m_lastSent = SteadyClock::now();
@@ -138,7 +138,7 @@
     }
 
     /// Sends a sign of life if nothing was sent for a while, and closes a silent connection.
-    void checkSilence(SteadyClock::time_point now)
+    auto checkSilence(SteadyClock::time_point now) -> void
     {
         const auto limit = m_session.isEstablished() ? SteadyClock::duration(kSilenceLimit)
                                                      : SteadyClock::duration(kHandshakeLimit);
@@ -150,7 +150,7 @@
             send({});
     }
 
-    void fail()
+    auto fail() -> void
     {
         if (std::exchange(m_closed, true))
             return;
@@ -179,7 +179,7 @@
     }
 
 private:
-    void flush()
+    auto flush() -> void
     {
         m_pending += m_session.takeOutput();
         while (!m_pending.empty()) {
@@ -203,7 +203,7 @@
         watchWriting(!m_pending.empty());
     }
 
-    void watchWriting(bool wanted)
+    auto watchWriting(bool wanted) -> void
     {
         if (wanted == std::exchange(m_writing, wanted))
             return;
@@ -256,7 +256,7 @@
         return {};
     }
 
-    void send(PeerOutgoing outgoing) override
+    auto send(PeerOutgoing outgoing) -> void override
     {
         // A message lost here is as good as lost on the way; the senders repeat what matters.
         static_cast<void>(m_ring.push(std::move(outgoing)));
@@ -269,13 +269,13 @@
         SteadyClock::time_point notBefore{};
     };
 
-    void wake()
+    auto wake() -> void
     {
         if (!m_woken.exchange(true))
             m_reactor.notify();
     }
 
-    void run()
+    auto run() -> void
     {
         m_reactor.owner(ACE_OS::thr_self());
         auto nextCheck = SteadyClock::now();
@@ -297,7 +297,7 @@
         m_connections.clear();
     }
 
-    void checkConnections(SteadyClock::time_point now)
+    auto checkConnections(SteadyClock::time_point now) -> void
     {
         const auto count = m_connections.size();
         for (std::size_t i = 0; i < count; ++i) {
@@ -306,7 +306,7 @@
         }
     }
 
-    void deliver(const PeerOutgoing &outgoing)
+    auto deliver(const PeerOutgoing &outgoing) -> void
     {
         const auto body = wire::encodeMessage(outgoing.message);
         const auto known = m_byPeer.find(outgoing.to);
@@ -322,7 +322,7 @@
         dial(outgoing.to, *outgoing.address, dialling);
     }
 
-    void dial(const InstanceId &to, const Endpoint &endpoint, Dialling &dialling)
+    auto dial(const InstanceId &to, const Endpoint &endpoint, Dialling &dialling) -> void
     {
         const auto now = SteadyClock::now();
         const auto underWay =
@@ -357,7 +357,7 @@
         return m_acceptor.get_handle();
     }
 
-    void established(Connection &connection) override
+    auto established(Connection &connection) -> void override
     {
         m_byPeer[connection.peer()] = &connection;
         kLog.info("Connected with " + connection.peer().value + ".");
@@ -370,7 +370,7 @@
             connection.send(body);
     }
 
-    void received(Connection &connection, const std::string &body) override
+    auto received(Connection &connection, const std::string &body) -> void override
     {
         auto message = wire::decodeMessage(body);
         if (message)
@@ -380,7 +380,7 @@
                          + message.error().detail + ".");
     }
 
-    void closed(Connection &connection) override
+    auto closed(Connection &connection) -> void override
     {
         const auto known = m_byPeer.find(connection.peer());
         if (known != m_byPeer.end() && known->second == &connection) {
--- a/libs/daemon/src/replica_host.cpp
+++ b/libs/daemon/src/replica_host.cpp
@@ -32,12 +32,13 @@
     }
 }
 
-void ReplicaHost::receive(TimePoint now, const InstanceId &from, const wire::PeerMessage &message)
+auto ReplicaHost::receive(TimePoint now, const InstanceId &from, const wire::PeerMessage &message)
+    -> void
 {
     std::visit([&](const auto &body) { handle(now, from, body); }, message);
 }
 
-void ReplicaHost::tick(TimePoint now)
+auto ReplicaHost::tick(TimePoint now) -> void
 {
     for (auto &[id, group] : m_groups) {
         if (now >= group.replica.nextDeadline())
@@ -60,12 +61,12 @@
     }
 }
 
-void ReplicaHost::synced(TimePoint now, GroupId group, std::uint64_t number)
+auto ReplicaHost::synced(TimePoint now, GroupId group, std::uint64_t number) -> void
 {
     m_groups.at(group).replica.synced(now, number);
 }
 
-void ReplicaHost::transferLeadership(TimePoint now)
+auto ReplicaHost::transferLeadership(TimePoint now) -> void
 {
     for (auto &[id, group] : m_groups)
         group.replica.transferLeadership(now);
@@ -96,8 +97,8 @@
     return deadline;
 }
 
-void ReplicaHost::handle(TimePoint now, const InstanceId &from,
-                         const wire::ConsensusMessage &message)
+auto ReplicaHost::handle(TimePoint now, const InstanceId &from,
+                         const wire::ConsensusMessage &message) -> void
 {
     const auto group = m_groups.find(message.group);
     // A replica speaks only for itself, whatever a message claims.
@@ -105,7 +106,8 @@
         group->second.replica.receive(now, message.envelope);
 }
 
-void ReplicaHost::handle(TimePoint now, const InstanceId &from, const wire::Request &request)
+auto ReplicaHost::handle(TimePoint now, const InstanceId &from, const wire::Request &request)
+    -> void
 {
     const auto found = m_groups.find(request.group);
     if (found == m_groups.end()) {
@@ -126,7 +128,7 @@
     group.waiting[*index] = Waiting{from, request.id, group.replica.term()};
 }
 
-void ReplicaHost::collect(TimePoint now, GroupId id, Group &group)
+auto ReplicaHost::collect(TimePoint now, GroupId id, Group &group) -> void
 {
     auto effects = group.replica.takeEffects(now);
     if (effects.installed)
@@ -146,7 +148,7 @@
     }
 }
 
-void ReplicaHost::install(GroupId id, Group &group, const consensus::Snapshot &snapshot)
+auto ReplicaHost::install(GroupId id, Group &group, const consensus::Snapshot &snapshot) -> void
 {
     group.applied = snapshot.meta.index;
     group.snapshotAt = snapshot.meta.index;
@@ -162,7 +164,7 @@
     m_feedChanged = true;
 }
 
-void ReplicaHost::apply(GroupId id, Group &group, const consensus::Entry &entry)
+auto ReplicaHost::apply(GroupId id, Group &group, const consensus::Entry &entry) -> void
 {
     group.applied = entry.index;
     const auto outcome = id == kControlGroup ? applyControl(entry) : applyProgram(group, entry);
@@ -200,7 +202,7 @@
     return encode(group.ledger.apply(entry.time, *command));
 }
 
-void ReplicaHost::refuseWaiting(Group &group)
+auto ReplicaHost::refuseWaiting(Group &group) -> void
 {
     for (const auto &[index, waiting] : group.waiting)
         reply(waiting.from, {waiting.request,
@@ -210,7 +212,7 @@
     group.waiting.clear();
 }
 
-void ReplicaHost::reply(const InstanceId &to, wire::Reply reply)
+auto ReplicaHost::reply(const InstanceId &to, wire::Reply reply) -> void
 {
     m_output.messages.emplace_back(to, std::move(reply));
 }
@@ -221,8 +223,8 @@
     return leader ? instanceOf(*leader) : InstanceId();
 }
 
-void ReplicaHost::answerRead(TimePoint now, const InstanceId &from, const wire::Request &request,
-                             Group &group)
+auto ReplicaHost::answerRead(TimePoint now, const InstanceId &from, const wire::Request &request,
+                             Group &group) -> void
 {
     wire::Reply answer{request.id, std::nullopt, leaderHint(group), {}};
     if (!group.replica.canServeReads(now))
@@ -268,7 +270,7 @@
     return json.dump();
 }
 
-void ReplicaHost::compactIfNeeded()
+auto ReplicaHost::compactIfNeeded() -> void
 {
     const auto due = std::any_of(m_groups.begin(), m_groups.end(), [this](const auto &item) {
         return item.second.applied >= item.second.snapshotAt + m_settings.compactAfter;
--- a/libs/daemon/src/replica_host_control.cpp
+++ b/libs/daemon/src/replica_host_control.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-void ReplicaHost::handle(TimePoint now, const InstanceId &from, const wire::Follow &follow)
+auto ReplicaHost::handle(TimePoint now, const InstanceId &from, const wire::Follow &follow) -> void
 {
     auto &group = m_groups.at(kControlGroup);
     if (!group.replica.canServeReads(now)) {
@@ -33,7 +33,8 @@
     feedFollower(from, follower, follow.requestedAt);
 }
 
-void ReplicaHost::feedFollower(const InstanceId &id, Follower &follower, std::int64_t requestedAt)
+auto ReplicaHost::feedFollower(const InstanceId &id, Follower &follower, std::int64_t requestedAt)
+    -> void
 {
     wire::FeedMessage message;
     message.feed.requestedAt = requestedAt;
@@ -53,8 +54,8 @@
     m_output.messages.emplace_back(id, std::move(message));
 }
 
-void ReplicaHost::addLoads(const InstanceId &id, Follower &follower,
-                           wire::FeedMessage &message) const
+auto ReplicaHost::addLoads(const InstanceId &id, Follower &follower,
+                           wire::FeedMessage &message) const -> void
 {
     // The upstreams come in turn, so that a feed's size does not grow with the fleet.
     auto next = m_upstreams.upper_bound(follower.lastLoadSent);
@@ -79,7 +80,7 @@
     message.instances.push_back({id, follower.load});
 }
 
-void ReplicaHost::pushToFollowers(TimePoint now)
+auto ReplicaHost::pushToFollowers(TimePoint now) -> void
 {
     if (!m_groups.at(kControlGroup).replica.canServeReads(now))
         return;
@@ -90,7 +91,7 @@
     }
 }
 
-void ReplicaHost::detectFailures(TimePoint now)
+auto ReplicaHost::detectFailures(TimePoint now) -> void
 {
     // A new leader has heard nobody yet, so it gives everybody a whole time-out.
     for (const auto &[id, record] : m_control.instances()) {
@@ -121,7 +122,7 @@
     });
 }
 
-void ReplicaHost::giveOrders(TimePoint now)
+auto ReplicaHost::giveOrders(TimePoint now) -> void
 {
     const auto fencing = m_groups.at(kControlGroup).replica.term();
     for (const auto &[number, order] : m_control.orders()) {
@@ -145,7 +146,7 @@
     }
 }
 
-void ReplicaHost::orderDone(TimePoint now, const UpstreamOrder &order, bool acknowledged)
+auto ReplicaHost::orderDone(TimePoint now, const UpstreamOrder &order, bool acknowledged) -> void
 {
     if (const auto *number = std::get_if<std::uint64_t>(&order.subject)) {
         m_ordersSent.erase(*number);
@@ -164,7 +165,7 @@
     }
 }
 
-void ReplicaHost::proposeControl(TimePoint now, const control::ControlCommand &command)
+auto ReplicaHost::proposeControl(TimePoint now, const control::ControlCommand &command) -> void
 {
     // Proposals of the leader itself are repeated by its next maintenance if they come to nothing.
     static_cast<void>(m_groups.at(kControlGroup).replica.propose(now, encodeVariant(command)));
--- a/libs/daemon/src/replica_host_shards.cpp
+++ b/libs/daemon/src/replica_host_shards.cpp
@@ -9,7 +9,7 @@
 
 } // namespace
 
-void ReplicaHost::maintainShard(TimePoint now, Group &group)
+auto ReplicaHost::maintainShard(TimePoint now, Group &group) -> void
 {
     if (group.ledger.needsSweep(group.replica.groupTime(now)))
         proposeProgram(now, group, programs::Sweep{});
@@ -32,7 +32,7 @@
     releaseMemory(now, group);
 }
 
-void ReplicaHost::releaseMemory(TimePoint now, Group &group)
+auto ReplicaHost::releaseMemory(TimePoint now, Group &group) -> void
 {
     const auto &pending = group.ledger.pendingReleases();
     std::erase_if(group.releasesSent,
@@ -52,7 +52,7 @@
     }
 }
 
-void ReplicaHost::driveReplacement(TimePoint now, GroupId id, Group &group)
+auto ReplicaHost::driveReplacement(TimePoint now, GroupId id, Group &group) -> void
 {
     if (m_control.replacements().empty())
         return;
@@ -80,8 +80,8 @@
         proposeControl(now, control::EndReplacement{replacement.oldReplica});
 }
 
-void ReplicaHost::proposeProgram(TimePoint now, Group &group,
-                                 const programs::ProgramCommand &command)
+auto ReplicaHost::proposeProgram(TimePoint now, Group &group,
+                                 const programs::ProgramCommand &command) -> void
 {
     // Proposals of the leader itself are repeated by its next maintenance if they come to nothing.
     static_cast<void>(group.replica.propose(now, encodeVariant(command)));
--- a/libs/daemon/src/server.cpp
+++ b/libs/daemon/src/server.cpp
@@ -29,7 +29,7 @@
 
 const telemetry::Logger kLog("serve");
 
-void onSignal(int number)
+auto onSignal(int number) -> void
 {
     if (number == SIGHUP)
         reloadRequested = true;
@@ -37,7 +37,7 @@
         stopRequested = true;
 }
 
-void installSignalHandlers()
+auto installSignalHandlers() -> void
 {
     struct sigaction action
     {
@@ -232,7 +232,7 @@
         return {};
     }
 
-    void reloadCertificate()
+    auto reloadCertificate() -> void
     {
         if (const auto tls = readTls(m_settings); !tls) {
             kLog.error("Kept the old certificate: " + tls.error().detail + ".");
@@ -263,7 +263,7 @@
     }
 
     /// Tells of changes that operators look for in the log.
-    void logChanges(TimePoint now)
+    auto logChanges(TimePoint now) -> void
     {
         const auto ready = m_instance->entry().isReady(now);
         if (ready != std::exchange(m_wasReady, ready))
@@ -330,27 +330,27 @@
         return token & ((http::Token(1) << kServerShift) - 1);
     }
 
-    void carryOut(Respond &effect)
+    auto carryOut(Respond &effect) -> void
     {
         serverOf(effect.token).respond(local(effect.token), std::move(effect.response));
     }
 
-    void carryOut(BeginStream &effect)
+    auto carryOut(BeginStream &effect) -> void
     {
         serverOf(effect.token).beginStream(local(effect.token), std::move(effect.head));
     }
 
-    void carryOut(const StreamData &effect)
+    auto carryOut(const StreamData &effect) -> void
     {
         serverOf(effect.token).write(local(effect.token), effect.bytes);
     }
 
-    void carryOut(const EndStream &effect)
+    auto carryOut(const EndStream &effect) -> void
     {
         serverOf(effect.token).endStream(local(effect.token), effect.complete);
     }
 
-    void carryOut(SendUpstream &effect)
+    auto carryOut(SendUpstream &effect) -> void
     {
         const auto id = effect.request.id;
         if (!m_client->send(std::move(effect.request)))
@@ -359,12 +359,12 @@
                 {id, http::AnswerEnd{false, false, "too many requests to upstreams"}});
     }
 
-    void carryOut(const CancelUpstream &effect)
+    auto carryOut(const CancelUpstream &effect) -> void
     {
         static_cast<void>(m_client->cancel(effect.id));
     }
 
-    void carryOut(SendPeer &effect)
+    auto carryOut(SendPeer &effect) -> void
     {
         if (m_peers)
             m_peers->send(
@@ -381,7 +381,7 @@
 
     /// Adds an event that must not be lost; the ring's consumer never waits for its producers.
     template <typename T>
-    void pushPatiently(Ring<T> &ring, T event)
+    auto pushPatiently(Ring<T> &ring, T event) -> void
     {
         // A push that fails leaves its argument as it was.
         while (!ring.push(std::move(event)) && !m_failed) // NOLINT(bugprone-use-after-move)
--- a/libs/daemon/src/settings.cpp
+++ b/libs/daemon/src/settings.cpp
@@ -52,13 +52,13 @@
         return {node == nullptr ? nullptr : node->as_table(), name, m_file};
     }
 
-    void keep(const std::string &error)
+    auto keep(const std::string &error) -> void
     {
         if (m_error.empty())
             m_error = error;
     }
 
-    void readInstance()
+    auto readInstance() -> void
     {
         auto reader = table("instance");
         reader.readName("id", m_settings.id);
@@ -76,7 +76,7 @@
         keep(reader.finish());
     }
 
-    void readFleet()
+    auto readFleet() -> void
     {
         auto reader = table("fleet");
         reader.readText("cluster", m_settings.cluster);
@@ -88,7 +88,7 @@
         keep(reader.finish());
     }
 
-    void readSecrets()
+    auto readSecrets() -> void
     {
         const auto *list = m_root["fleet"]["secrets"].as_array();
         if (list == nullptr)
@@ -103,7 +103,7 @@
         }
     }
 
-    void readDiskInstances()
+    auto readDiskInstances() -> void
     {
         const auto *list = m_root["fleet"]["disk_instances"].as_array();
         if (list == nullptr)
@@ -120,14 +120,14 @@
         }
     }
 
-    void readStorage()
+    auto readStorage() -> void
     {
         auto reader = table("storage");
         reader.readText("folder", m_settings.dataFolder);
         keep(reader.finish());
     }
 
-    void readKeys()
+    auto readKeys() -> void
     {
         auto reader = table("keys");
         const auto longEnough = [](const std::string &text) {
@@ -146,7 +146,7 @@
         keep(reader.finish());
     }
 
-    void readCallers()
+    auto readCallers() -> void
     {
         auto reader = table("callers");
         reader.readTime<std::chrono::seconds>("directory_ttl_s", m_settings.directoryTtl, 1, 60);
@@ -166,7 +166,7 @@
         keep(reader.finish());
     }
 
-    void readOpenRoutes()
+    auto readOpenRoutes() -> void
     {
         m_tables.insert("open_routes");
         const auto *list = m_root["open_routes"].as_array();
@@ -186,7 +186,7 @@
         }
     }
 
-    void readUpstreams()
+    auto readUpstreams() -> void
     {
         auto reader = table("upstreams");
         reader.readTime<std::chrono::milliseconds>("first_byte_timeout_ms",
@@ -196,7 +196,7 @@
         keep(reader.finish());
     }
 
-    void readPrograms()
+    auto readPrograms() -> void
     {
         auto reader = table("programs");
         reader.readNumber("max_turns", m_settings.maxTurns, 1, 100'000);
@@ -206,7 +206,7 @@
         keep(reader.finish());
     }
 
-    void checkTables()
+    auto checkTables() -> void
     {
         for (const auto &[key, node] : m_root) {
             if (!m_tables.contains(std::string(key.str())))
@@ -215,7 +215,7 @@
         }
     }
 
-    void checkTogether()
+    auto checkTogether() -> void
     {
         const auto &disks = m_settings.diskInstances;
         if (disks.empty() && !m_settings.hasDisk())
--- a/libs/daemon/src/upstream_api.cpp
+++ b/libs/daemon/src/upstream_api.cpp
@@ -107,7 +107,7 @@
     return renewals;
 }
 
-void UpstreamApi::announce(TimePoint now, http::Token token, const nlohmann::json &body)
+auto UpstreamApi::announce(TimePoint now, http::Token token, const nlohmann::json &body) -> void
 {
     const auto offer = readOffer(body);
     if (!offer)
@@ -122,7 +122,7 @@
         });
 }
 
-void UpstreamApi::renew(http::Token token, const nlohmann::json &body)
+auto UpstreamApi::renew(http::Token token, const nlohmann::json &body) -> void
 {
     const auto id = readText(body, "id");
     const auto incarnation = body.value("incarnation", nlohmann::json());
@@ -150,7 +150,7 @@
     m_context.respond(token, jsonResponse({{"renew_s", kRenewSeconds}}));
 }
 
-void UpstreamApi::leave(TimePoint now, http::Token token, const nlohmann::json &body)
+auto UpstreamApi::leave(TimePoint now, http::Token token, const nlohmann::json &body) -> void
 {
     const auto id = readText(body, "id");
     const auto incarnation = body.value("incarnation", nlohmann::json());
--- a/libs/http/include/heathergate/http/event_stream.h
+++ b/libs/http/include/heathergate/http/event_stream.h
@@ -29,7 +29,7 @@
     }
 
 private:
-    void takeLine(std::string_view line, std::vector<std::string> &events)
+    auto takeLine(std::string_view line, std::vector<std::string> &events) -> void
     {
         constexpr std::string_view kField = "data:";
         if (line.empty()) {
--- a/libs/http/include/heathergate/http/server.h
+++ b/libs/http/include/heathergate/http/server.h
@@ -54,15 +54,15 @@
     virtual ~Server() = default;
 
     /// Answers a request as a whole.
-    virtual void respond(Token token, Response response) = 0;
+    virtual auto respond(Token token, Response response) -> void = 0;
     /// Starts an answer whose body follows in pieces.
-    virtual void beginStream(Token token, Response head) = 0;
+    virtual auto beginStream(Token token, Response head) -> void = 0;
     /// Sends a piece of a body.
-    virtual void write(Token token, std::string_view bytes) = 0;
+    virtual auto write(Token token, std::string_view bytes) -> void = 0;
     /// Ends a body; if it is not `complete`, the connection is cut so that the reader sees it.
-    virtual void endStream(Token token, bool complete) = 0;
+    virtual auto endStream(Token token, bool complete) -> void = 0;
     /// Stops accepting connections; those that are open go on.
-    virtual void stopAccepting() = 0;
+    virtual auto stopAccepting() -> void = 0;
     /// Returns the port it listens on.
     [[nodiscard]] virtual auto port() const -> std::uint16_t = 0;
     /// Returns the number of requests that are not answered completely.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -39,12 +39,12 @@
         curl_easy_cleanup(handle);
     }
 
-    void emit(std::variant<AnswerHead, AnswerData, AnswerEnd> what)
+    auto emit(std::variant<AnswerHead, AnswerData, AnswerEnd> what) -> void
     {
         (*onEvent)(ClientEvent{request.id, std::move(what)});
     }
 
-    void emitHead()
+    auto emitHead() -> void
     {
         if (!std::exchange(headSent, true))
             emit(head);
@@ -117,7 +117,7 @@
     }
 
 private:
-    void run()
+    auto run() -> void
     {
         while (!m_stopping) {
             int running = 0;
@@ -129,7 +129,7 @@
         }
     }
 
-    void carryOut(Order &order)
+    auto carryOut(Order &order) -> void
     {
         if (auto *request = std::get_if<Outgoing>(&order))
             begin(std::move(*request));
@@ -137,7 +137,7 @@
             remove(cancelled->id);
     }
 
-    void begin(Outgoing request)
+    auto begin(Outgoing request) -> void
     {
         auto transfer = std::make_unique<Transfer>();
         transfer->request = std::move(request);
@@ -149,7 +149,7 @@
         m_transfers[id] = std::move(transfer);
     }
 
-    static void configure(Transfer &transfer)
+    static auto configure(Transfer &transfer) -> void
     {
         const auto &request = transfer.request;
         auto *handle = transfer.handle;
@@ -186,7 +186,7 @@
         }
     }
 
-    void finishTransfers()
+    auto finishTransfers() -> void
     {
         int left = 0;
         while (auto *message = curl_multi_info_read(m_multi, &left)) {
@@ -216,7 +216,7 @@
         return !(result == CURLE_OPERATION_TIMEDOUT && connected == 0 && connects > 0);
     }
 
-    void remove(std::uint64_t id)
+    auto remove(std::uint64_t id) -> void
     {
         const auto found = m_transfers.find(id);
         if (found == m_transfers.end())
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -49,7 +49,7 @@
 
 using ExchangePtr = std::shared_ptr<Exchange>;
 
-void resumeIfSuspended(Exchange &exchange)
+auto resumeIfSuspended(Exchange &exchange) -> void
 {
     if (std::exchange(exchange.suspended, false))
         MHD_resume_connection(exchange.connection);
@@ -115,7 +115,7 @@
         return {};
     }
 
-    void respond(Token token, Response response) override
+    auto respond(Token token, Response response) -> void override
     {
         const auto exchange = find(token);
         if (!exchange)
@@ -128,7 +128,7 @@
         resumeIfSuspended(*exchange);
     }
 
-    void beginStream(Token token, Response head) override
+    auto beginStream(Token token, Response head) -> void override
     {
         const auto exchange = find(token);
         if (!exchange)
@@ -141,7 +141,7 @@
         resumeIfSuspended(*exchange);
     }
 
-    void write(Token token, std::string_view bytes) override
+    auto write(Token token, std::string_view bytes) -> void override
     {
         const auto exchange = find(token);
         if (!exchange)
@@ -155,7 +155,7 @@
         resumeIfSuspended(*exchange);
     }
 
-    void endStream(Token token, bool complete) override
+    auto endStream(Token token, bool complete) -> void override
     {
         const auto exchange = find(token);
         if (!exchange)
@@ -166,7 +166,7 @@
         resumeIfSuspended(*exchange);
     }
 
-    void stopAccepting() override
+    auto stopAccepting() -> void override
     {
         if (m_daemon == nullptr || m_quiesced.exchange(true))
             return;
@@ -206,8 +206,8 @@
         return server.proceed(exchange);
     }
 
-    static void completed(void *self, MHD_Connection *, void **state,
-                          MHD_RequestTerminationCode code)
+    static auto completed(void *self, MHD_Connection *, void **state,
+                          MHD_RequestTerminationCode code) -> void
     {
         auto *held = static_cast<ExchangePtr *>(*state);
         if (held == nullptr)
@@ -264,7 +264,7 @@
         return text;
     }
 
-    void takeBody(Exchange &exchange, const char *data, std::size_t size) const
+    auto takeBody(Exchange &exchange, const char *data, std::size_t size) const -> void
     {
         if (exchange.request.body.size() + size > m_settings.maxBodyBytes)
             exchange.tooLarge = true;
@@ -319,7 +319,7 @@
         return {info.httpStatus, {{"content-type", "application/problem+json"}}, body.dump()};
     }
 
-    static void addHeaders(MHD_Response *response, const Headers &headers)
+    static auto addHeaders(MHD_Response *response, const Headers &headers) -> void
     {
         for (const auto &[name, value] : headers)
             MHD_add_response_header(response, name.c_str(), value.c_str());
@@ -384,7 +384,7 @@
         return all;
     }
 
-    void remove(Token token)
+    auto remove(Token token) -> void
     {
         const std::lock_guard lock(m_mutex);
         m_exchanges.erase(token);
--- a/libs/limits/include/heathergate/limits/allowance_client.h
+++ b/libs/limits/include/heathergate/limits/allowance_client.h
@@ -19,7 +19,7 @@
     [[nodiscard]] auto tryAdmit(TimePoint now, const CustomerId &customer) -> bool;
 
     /// Says how many requests of a customer wait for allowance, and under which limit.
-    void setWaiting(const CustomerId &customer, const Limit &limit, std::size_t waiting);
+    auto setWaiting(const CustomerId &customer, const Limit &limit, std::size_t waiting) -> void;
 
     /// Returns the report for the customers that `owned` selects; nothing if there is no news to
     /// report and nobody waits.
@@ -66,7 +66,7 @@
         std::optional<AllowanceGrant> lastGrant;
     };
 
-    static void dropExpired(TimePoint now, Account &account);
+    static auto dropExpired(TimePoint now, Account &account) -> void;
     [[nodiscard]] static auto reportDue(const Account &account) -> TimePoint;
     [[nodiscard]] static auto report(TimePoint now, const CustomerId &customer, Account &account)
         -> AllowanceItem;
--- a/libs/limits/include/heathergate/limits/bucket.h
+++ b/libs/limits/include/heathergate/limits/bucket.h
@@ -45,7 +45,7 @@
     [[nodiscard]] auto nextToken() const -> TimePoint;
 
 private:
-    void refill(TimePoint now);
+    auto refill(TimePoint now) -> void;
 
     Limit m_limit;
     MicroTokens m_level;
--- a/libs/limits/include/heathergate/limits/bucket_ledger.h
+++ b/libs/limits/include/heathergate/limits/bucket_ledger.h
@@ -71,15 +71,15 @@
     /// Applies a request at group time `now`.
     auto apply(GroupTime now, const AllowanceRequest &request) -> AllowanceReply;
     /// Forgets buckets that are full and unused since before `now`.
-    void forgetIdle(GroupTime now);
+    auto forgetIdle(GroupTime now) -> void;
     /// Returns the number of buckets held.
     [[nodiscard]] auto size() const -> std::size_t
     {
         return m_buckets.size();
     }
 
-    friend void to_json(nlohmann::json &json, const BucketLedger &ledger);
-    friend void from_json(const nlohmann::json &json, BucketLedger &ledger);
+    friend auto to_json(nlohmann::json &json, const BucketLedger &ledger) -> void;
+    friend auto from_json(const nlohmann::json &json, BucketLedger &ledger) -> void;
 
     /// The allowance of one instance. `closed` is what can no longer be used.
     struct Holding
--- a/libs/limits/src/allowance_client.cpp
+++ b/libs/limits/src/allowance_client.cpp
@@ -30,8 +30,8 @@
     return true;
 }
 
-void AllowanceClient::setWaiting(const CustomerId &customer, const Limit &limit,
-                                 std::size_t waiting)
+auto AllowanceClient::setWaiting(const CustomerId &customer, const Limit &limit,
+                                 std::size_t waiting) -> void
 {
     auto &account = m_accounts[customer];
     if (limit.revision >= account.limit.revision)
@@ -84,7 +84,7 @@
     return next;
 }
 
-void AllowanceClient::dropExpired(TimePoint now, Account &account)
+auto AllowanceClient::dropExpired(TimePoint now, Account &account) -> void
 {
     if (now >= account.expiresAt)
         account.consumed = std::max(account.consumed, account.granted - account.returned);
--- a/libs/limits/src/bucket.cpp
+++ b/libs/limits/src/bucket.cpp
@@ -37,7 +37,7 @@
     return m_updatedAt + Duration(missing * 1'000'000 / m_limit.rate + 1);
 }
 
-void TokenBucket::refill(TimePoint now)
+auto TokenBucket::refill(TimePoint now) -> void
 {
     const auto gained = accrued(m_limit.rate, now - m_updatedAt);
     if (gained <= 0)
--- a/libs/limits/src/bucket_ledger.cpp
+++ b/libs/limits/src/bucket_ledger.cpp
@@ -18,7 +18,7 @@
 }
 
 /// Counts expired allowance as used: its holder may have admitted with it and died.
-void closeExpired(Bucket &bucket, GroupTime now)
+auto closeExpired(Bucket &bucket, GroupTime now) -> void
 {
     for (auto &[holder, holding] : bucket.holdings) {
         if (holding.expiresAt <= now)
@@ -26,7 +26,7 @@
     }
 }
 
-void refill(Bucket &bucket, GroupTime now)
+auto refill(Bucket &bucket, GroupTime now) -> void
 {
     const auto room = std::max<MicroTokens>(0, bucket.limit.burst - outstanding(bucket));
     const auto gained = accrued(bucket.limit.rate, now - bucket.updatedAt);
@@ -35,7 +35,7 @@
 }
 
 /// Takes in what a holder has used and returned since its last report.
-void settle(Bucket &bucket, Holding &holding, const AllowanceItem &item)
+auto settle(Bucket &bucket, Holding &holding, const AllowanceItem &item) -> void
 {
     const auto reported = item.consumedTotal + item.returnedTotal;
     // A holder that was forgotten goes on counting where it stands.
@@ -107,7 +107,7 @@
             outstanding(bucket) - (holding.granted - holding.closed)};
 }
 
-void BucketLedger::forgetIdle(GroupTime now)
+auto BucketLedger::forgetIdle(GroupTime now) -> void
 {
     for (auto item = m_buckets.begin(); item != m_buckets.end();) {
         auto &bucket = item->second;
@@ -121,12 +121,12 @@
     }
 }
 
-void to_json(nlohmann::json &json, const BucketLedger &ledger)
+auto to_json(nlohmann::json &json, const BucketLedger &ledger) -> void
 {
     json = ledger.m_buckets;
 }
 
-void from_json(const nlohmann::json &json, BucketLedger &ledger)
+auto from_json(const nlohmann::json &json, BucketLedger &ledger) -> void
 {
     json.get_to(ledger.m_buckets);
 }
--- a/libs/limits/test/bucket_ledger_test.cpp
+++ b/libs/limits/test/bucket_ledger_test.cpp
@@ -45,25 +45,25 @@
         return m_link;
     }
 
-    void setLimit(Limit limit)
+    auto setLimit(Limit limit) -> void
     {
         m_limit = limit;
     }
 
     /// Sets an instance's clock error; a fast clock drops allowance early, a slow one late.
-    void setClockError(int instance, std::int64_t ppm)
+    auto setClockError(int instance, std::int64_t ppm) -> void
     {
         m_errors["i" + std::to_string(instance)] = ppm;
     }
 
     /// A request arrives at an instance.
-    void arrive(int instance)
+    auto arrive(int instance) -> void
     {
         ++m_waiting["i" + std::to_string(instance)];
     }
 
     /// The instance loses all it held and starts again.
-    void restart(int instance)
+    auto restart(int instance) -> void
     {
         const auto name = "i" + std::to_string(instance);
         m_waiting[name] = 0;
@@ -71,7 +71,7 @@
         m_clients.emplace(name, makeClient(instance));
     }
 
-    void run(Duration time)
+    auto run(Duration time) -> void
     {
         const auto end = m_clock.now() + time;
         while (m_clock.now() < end) {
@@ -114,7 +114,7 @@
         return m_clock.now() + Duration(elapsed.count() * m_errors[name] / 1'000'000);
     }
 
-    void deliver()
+    auto deliver() -> void
     {
         for (auto &delivery : m_link.arrived(m_clock.now())) {
             if (delivery.message.request) {
@@ -127,7 +127,7 @@
         }
     }
 
-    void step(const std::string &name, AllowanceClient &client)
+    auto step(const std::string &name, AllowanceClient &client) -> void
     {
         auto &waiting = m_waiting[name];
         while (waiting > 0 && client.tryAdmit(local(name), kCustomer)) {
--- a/libs/log/include/heathergate/log/internal/record.h
+++ b/libs/log/include/heathergate/log/internal/record.h
@@ -21,7 +21,7 @@
 };
 
 /// Appends the stored form of a record to `out`.
-void appendRecord(std::string &out, std::uint64_t sequence, std::string_view payload);
+auto appendRecord(std::string &out, std::uint64_t sequence, std::string_view payload) -> void;
 
 /// Decodes the record at the start of `bytes`; nothing if it is incomplete or damaged.
 [[nodiscard]] auto parseRecord(std::string_view bytes) -> std::optional<RecordView>;
--- a/libs/log/include/heathergate/log/posix_files.h
+++ b/libs/log/include/heathergate/log/posix_files.h
@@ -43,8 +43,8 @@
 
     [[nodiscard]] auto path(const std::string &name) const -> std::string;
     [[nodiscard]] auto descriptor(const std::string &name) -> Result<int>;
-    void forget(const std::string &name);
-    void closeAll();
+    auto forget(const std::string &name) -> void;
+    auto closeAll() -> void;
 
     std::string m_folder;
     int m_folderDescriptor = -1;
--- a/libs/log/src/posix_files.cpp
+++ b/libs/log/src/posix_files.cpp
@@ -188,7 +188,7 @@
     return file;
 }
 
-void PosixFiles::forget(const std::string &name)
+auto PosixFiles::forget(const std::string &name) -> void
 {
     const auto known = m_open.find(name);
     if (known == m_open.end())
@@ -197,7 +197,7 @@
     m_open.erase(known);
 }
 
-void PosixFiles::closeAll()
+auto PosixFiles::closeAll() -> void
 {
     for (const auto &[name, file] : m_open)
         ::close(file);
--- a/libs/log/src/record.cpp
+++ b/libs/log/src/record.cpp
@@ -10,7 +10,7 @@
 constexpr std::uint32_t kMagic = 0x31524748; // "HGR1"
 
 template <typename T>
-void putNumber(std::string &out, T value)
+auto putNumber(std::string &out, T value) -> void
 {
     for (std::size_t shift = 0; shift < sizeof(T) * 8; shift += 8)
         out.push_back(static_cast<char>((value >> shift) & 0xff));
@@ -32,7 +32,7 @@
 
 } // namespace
 
-void appendRecord(std::string &out, std::uint64_t sequence, std::string_view payload)
+auto appendRecord(std::string &out, std::uint64_t sequence, std::string_view payload) -> void
 {
     putNumber<std::uint32_t>(out, kMagic);
     putNumber<std::uint32_t>(out, static_cast<std::uint32_t>(payload.size()));
--- a/libs/log/test/write_ahead_log_test.cpp
+++ b/libs/log/test/write_ahead_log_test.cpp
@@ -30,7 +30,7 @@
     return found;
 }
 
-void writeThree(FakeFiles &files)
+auto writeThree(FakeFiles &files) -> void
 {
     auto log = Log::open(files, kIgnore);
     for (const auto *payload : {"one", "two", "three"}) {
--- a/libs/programs/include/heathergate/programs/program_ledger.h
+++ b/libs/programs/include/heathergate/programs/program_ledger.h
@@ -127,8 +127,8 @@
         return m_programs.size();
     }
 
-    friend void to_json(nlohmann::json &json, const ProgramLedger &ledger);
-    friend void from_json(const nlohmann::json &json, ProgramLedger &ledger);
+    friend auto to_json(nlohmann::json &json, const ProgramLedger &ledger) -> void;
+    friend auto from_json(const nlohmann::json &json, ProgramLedger &ledger) -> void;
 
 private:
     auto applyOne(GroupTime now, const StartProgram &start) -> ProgramOutcome;
@@ -148,18 +148,18 @@
         -> Result<void>;
     [[nodiscard]] auto started(Program &program, CallRecord &record, const BeginCall &begin)
         -> ProgramOutcome;
-    void setState(const CallPlace &place, CallRecord &record, CallState state);
-    void addHolder(const ProgramKey &key, Program &program, const MemoryHolder &holder);
-    void dropHolderEntry(const ProgramKey &key, const MemoryHolder &holder);
-    void dropFromIndexes(const ProgramKey &key, Program &program);
-    void expectSweep(GroupTime at);
+    auto setState(const CallPlace &place, CallRecord &record, CallState state) -> void;
+    auto addHolder(const ProgramKey &key, Program &program, const MemoryHolder &holder) -> void;
+    auto dropHolderEntry(const ProgramKey &key, const MemoryHolder &holder) -> void;
+    auto dropFromIndexes(const ProgramKey &key, Program &program) -> void;
+    auto expectSweep(GroupTime at) -> void;
     [[nodiscard]] static auto nextExpiry(const Program &program) -> GroupTime;
-    void rebuildIndexes();
-    void supersedeInterrupted(Program &program, Program &root);
-    void release(Program &program, Program &root, CallRecord &record);
-    void releaseMemory(const ProgramKey &key, Program &program);
-    void end(const ProgramKey &key, Program &program, ProgramStatus status, std::string reason,
-             GroupTime now);
+    auto rebuildIndexes() -> void;
+    auto supersedeInterrupted(Program &program, Program &root) -> void;
+    auto release(Program &program, Program &root, CallRecord &record) -> void;
+    auto releaseMemory(const ProgramKey &key, Program &program) -> void;
+    auto end(const ProgramKey &key, Program &program, ProgramStatus status, std::string reason,
+             GroupTime now) -> void;
     [[nodiscard]] auto expiryReason(const Program &program, GroupTime now) const -> std::string;
 
     std::map<ProgramKey, Program> m_programs;
--- a/libs/programs/src/program_indexes.cpp
+++ b/libs/programs/src/program_indexes.cpp
@@ -5,7 +5,7 @@
 /// The ledger's indexes of running calls, memory holders and the next expiry.
 namespace heathergate::programs {
 
-void ProgramLedger::setState(const CallPlace &place, CallRecord &record, CallState state)
+auto ProgramLedger::setState(const CallPlace &place, CallRecord &record, CallState state) -> void
 {
     const SenderId sender{record.placement.instance, record.placement.instanceIncarnation};
     if (record.state == CallState::Running) {
@@ -20,14 +20,15 @@
         m_running[sender].insert(place);
 }
 
-void ProgramLedger::addHolder(const ProgramKey &key, Program &program, const MemoryHolder &holder)
+auto ProgramLedger::addHolder(const ProgramKey &key, Program &program, const MemoryHolder &holder)
+    -> void
 {
     std::erase(program.holders, holder);
     program.holders.push_back(holder);
     m_holders[holder].insert(key);
 }
 
-void ProgramLedger::dropHolderEntry(const ProgramKey &key, const MemoryHolder &holder)
+auto ProgramLedger::dropHolderEntry(const ProgramKey &key, const MemoryHolder &holder) -> void
 {
     const auto program = m_programs.find(key);
     const auto stillHeld =
@@ -42,7 +43,7 @@
         m_holders.erase(found);
 }
 
-void ProgramLedger::dropFromIndexes(const ProgramKey &key, Program &program)
+auto ProgramLedger::dropFromIndexes(const ProgramKey &key, Program &program) -> void
 {
     for (auto &[id, record] : program.calls) {
         if (record.state == CallState::Running)
@@ -55,7 +56,7 @@
     }
 }
 
-void ProgramLedger::expectSweep(GroupTime at)
+auto ProgramLedger::expectSweep(GroupTime at) -> void
 {
     m_nextSweep = std::min(m_nextSweep, at);
 }
@@ -72,7 +73,7 @@
     return next;
 }
 
-void ProgramLedger::rebuildIndexes()
+auto ProgramLedger::rebuildIndexes() -> void
 {
     m_running.clear();
     m_holders.clear();
--- a/libs/programs/src/program_ledger.cpp
+++ b/libs/programs/src/program_ledger.cpp
@@ -127,7 +127,7 @@
     return started(program, stored, begin);
 }
 
-void ProgramLedger::supersedeInterrupted(Program &program, Program &root)
+auto ProgramLedger::supersedeInterrupted(Program &program, Program &root) -> void
 {
     const auto active = program.calls.find(program.active);
     if (active == program.calls.end() || active->second.state != CallState::Interrupted)
@@ -364,7 +364,7 @@
     return outcome;
 }
 
-void ProgramLedger::release(Program &program, Program &root, CallRecord &record)
+auto ProgramLedger::release(Program &program, Program &root, CallRecord &record) -> void
 {
     root.reserved -= std::exchange(record.reserved, 0);
     if (!program.active.empty() && program.calls.contains(program.active)
@@ -372,7 +372,7 @@
         program.active = CallId();
 }
 
-void ProgramLedger::releaseMemory(const ProgramKey &key, Program &program)
+auto ProgramLedger::releaseMemory(const ProgramKey &key, Program &program) -> void
 {
     for (const auto &holder : program.holders)
         m_releases.insert({key, holder});
@@ -385,8 +385,8 @@
         program.holders.push_back(holder);
 }
 
-void ProgramLedger::end(const ProgramKey &key, Program &program, ProgramStatus status,
-                        std::string reason, GroupTime now)
+auto ProgramLedger::end(const ProgramKey &key, Program &program, ProgramStatus status,
+                        std::string reason, GroupTime now) -> void
 {
     program.status = status;
     program.endReason = std::move(reason);
@@ -419,7 +419,7 @@
     return {};
 }
 
-void to_json(nlohmann::json &json, const ProgramLedger &ledger)
+auto to_json(nlohmann::json &json, const ProgramLedger &ledger) -> void
 {
     auto programs = nlohmann::json::array();
     for (const auto &[key, program] : ledger.m_programs)
@@ -429,7 +429,7 @@
             {"buckets", ledger.m_buckets}};
 }
 
-void from_json(const nlohmann::json &json, ProgramLedger &ledger)
+auto from_json(const nlohmann::json &json, ProgramLedger &ledger) -> void
 {
     ledger.m_programs.clear();
     for (const auto &item : json.at("programs"))
--- a/libs/replay/include/heathergate/replay/fleet.h
+++ b/libs/replay/include/heathergate/replay/fleet.h
@@ -85,7 +85,7 @@
     Fleet(std::uint64_t seed, const std::vector<std::string> &disks,
           const std::vector<std::string> &entries);
 
-    void run(Duration time);
+    auto run(Duration time) -> void;
     /// Runs until `done`, at most `limit`. Returns whether it came to be.
     [[nodiscard]] auto runUntil(const std::function<bool()> &done, Duration limit) -> bool;
     /// Runs until all instances are ready and all upstreams known everywhere.
@@ -111,15 +111,15 @@
               Duration limit = std::chrono::seconds(30)) -> Received;
 
     /// Makes an upstream die: running requests are cut, connections refused.
-    void killTarget(const std::string &id);
+    auto killTarget(const std::string &id) -> void;
     /// Starts a dead upstream anew.
-    void reviveTarget(const std::string &id);
+    auto reviveTarget(const std::string &id) -> void;
 
-    void crash(const std::string &instance);
-    void restart(const std::string &instance);
-    void setFrozen(const std::string &instance, bool frozen);
-    void setIsolated(const std::string &instance, bool isolated);
-    void drain(const std::string &instance);
+    auto crash(const std::string &instance) -> void;
+    auto restart(const std::string &instance) -> void;
+    auto setFrozen(const std::string &instance, bool frozen) -> void;
+    auto setIsolated(const std::string &instance, bool isolated) -> void;
+    auto drain(const std::string &instance) -> void;
 
     [[nodiscard]] auto instance(const std::string &name) -> daemon::Instance &;
     /// Returns the disk instance that leads a group; empty if none does.
@@ -174,20 +174,21 @@
         http::ClientEvent event;
     };
 
-    void boot(const std::string &name, Node &node);
-    void step(const std::string &name, Node &node);
-    void carryOut(const std::string &name, Node &node, daemon::Effect &effect);
-    void deliverToTarget(const std::string &name, Node &node, const http::Outgoing &request);
-    void serveChat(FakeTarget &target, const std::string &name, Node &node,
-                   const http::Outgoing &request);
-    void runEngines();
-    void keepAnnounced();
-    void answer(const std::string &node, std::uint64_t boot, std::uint64_t id, int status,
-                const std::string &body, Duration after, const std::string &bootId = {});
-    void fail(const std::string &node, std::uint64_t boot, std::uint64_t id, bool sent,
-              Duration after);
-    void die(FakeTarget &target);
-    void syncDisk(Node &node);
+    auto boot(const std::string &name, Node &node) -> void;
+    auto step(const std::string &name, Node &node) -> void;
+    auto carryOut(const std::string &name, Node &node, daemon::Effect &effect) -> void;
+    auto deliverToTarget(const std::string &name, Node &node, const http::Outgoing &request)
+        -> void;
+    auto serveChat(FakeTarget &target, const std::string &name, Node &node,
+                   const http::Outgoing &request) -> void;
+    auto runEngines() -> void;
+    auto keepAnnounced() -> void;
+    auto answer(const std::string &node, std::uint64_t boot, std::uint64_t id, int status,
+                const std::string &body, Duration after, const std::string &bootId = {}) -> void;
+    auto fail(const std::string &node, std::uint64_t boot, std::uint64_t id, bool sent,
+              Duration after) -> void;
+    auto die(FakeTarget &target) -> void;
+    auto syncDisk(Node &node) -> void;
     [[nodiscard]] auto settingsFor(const std::string &name) const -> daemon::Settings;
 
     Random m_random;
--- a/libs/replay/include/heathergate/replay/fleet_backend.h
+++ b/libs/replay/include/heathergate/replay/fleet_backend.h
@@ -15,11 +15,11 @@
     {
         return m_fleet.clock().now();
     }
-    void run(Duration time);
-    void startProgram(const TraceProgram &program);
+    auto run(Duration time) -> void;
+    auto startProgram(const TraceProgram &program) -> void;
     [[nodiscard]] auto submit(const ReplayCall &call, int tries) -> Ticket;
     [[nodiscard]] auto answer(Ticket ticket) -> std::optional<ReplayAnswer>;
-    void inject(const TraceFailure &failure);
+    auto inject(const TraceFailure &failure) -> void;
     [[nodiscard]] auto computedPromptTokens() -> std::int64_t;
     [[nodiscard]] auto occupancy() -> double;
     /// Returns promises that the upstreams' own records show broken.
--- a/libs/replay/include/heathergate/replay/naive_backend.h
+++ b/libs/replay/include/heathergate/replay/naive_backend.h
@@ -18,11 +18,11 @@
     {
         return m_clock.now();
     }
-    void run(Duration time);
-    void startProgram(const TraceProgram &program);
+    auto run(Duration time) -> void;
+    auto startProgram(const TraceProgram &program) -> void;
     [[nodiscard]] auto submit(const ReplayCall &call, int tries) -> Ticket;
     [[nodiscard]] auto answer(Ticket ticket) -> std::optional<ReplayAnswer>;
-    void inject(const TraceFailure &failure);
+    auto inject(const TraceFailure &failure) -> void;
     [[nodiscard]] auto computedPromptTokens() -> std::int64_t;
     [[nodiscard]] auto occupancy() -> double;
     [[nodiscard]] auto problems() -> std::vector<std::string>
@@ -47,7 +47,7 @@
         std::string text;
     };
 
-    void dispatch(Ticket ticket);
+    auto dispatch(Ticket ticket) -> void;
 
     int m_slots;
     testing::ManualClock m_clock;
--- a/libs/replay/include/heathergate/replay/replayer.h
+++ b/libs/replay/include/heathergate/replay/replayer.h
@@ -79,7 +79,7 @@
                 static_cast<limits::MicroTokens>(customer.burst * limits::kOneToken), 1};
     }
 
-    void step(Run &run)
+    auto step(Run &run) -> void
     {
         const auto now = m_backend.now();
         if (!std::exchange(run.begun, true)) {
@@ -105,7 +105,7 @@
         send(run, now);
     }
 
-    void send(Run &run, TimePoint now)
+    auto send(Run &run, TimePoint now) -> void
     {
         const auto &current = run.program->steps[run.next];
         ReplayCall call;
@@ -125,7 +125,7 @@
     }
 
     /// Counts prompt tokens that no prompt before had, as the least that must be computed.
-    void noteFreshTokens(Run &run, const ReplayCall &call)
+    auto noteFreshTokens(Run &run, const ReplayCall &call) -> void
     {
         if (!call.system.empty())
             run.messages.push_back({{"role", "system"}, {"content", call.system}});
@@ -138,7 +138,7 @@
         }
     }
 
-    void awaitAnswer(Run &run, TimePoint now)
+    auto awaitAnswer(Run &run, TimePoint now) -> void
     {
         const auto answer = m_backend.answer(*run.ticket);
         if (!answer && now - run.sentAt < kAnswerPatience)
@@ -164,7 +164,7 @@
         run.notBefore = now + std::max(kResendPause, answer ? answer->retryAfter : Duration{});
     }
 
-    void end(Run &run, const std::string &outcome)
+    auto end(Run &run, const std::string &outcome) -> void
     {
         run.ended = true;
         const auto latency = m_backend.now() - run.startedAt - run.paused;
--- a/libs/replay/src/fleet.cpp
+++ b/libs/replay/src/fleet.cpp
@@ -61,7 +61,7 @@
     return settings;
 }
 
-void Fleet::boot(const std::string &name, Node &node)
+auto Fleet::boot(const std::string &name, Node &node) -> void
 {
     node.settings = settingsFor(name);
     ++node.boots;
@@ -81,7 +81,7 @@
                                            std::move(host), Random(m_random.next()));
 }
 
-void Fleet::run(Duration time)
+auto Fleet::run(Duration time) -> void
 {
     const auto end = m_clock.now() + time;
     while (m_clock.now() < end) {
@@ -183,12 +183,12 @@
     return m_received[token];
 }
 
-void Fleet::killTarget(const std::string &id)
+auto Fleet::killTarget(const std::string &id) -> void
 {
     die(m_targets.at(id));
 }
 
-void Fleet::reviveTarget(const std::string &id)
+auto Fleet::reviveTarget(const std::string &id) -> void
 {
     auto &target = m_targets.at(id);
     target.dead = false;
@@ -197,26 +197,26 @@
     m_nextRenewal = m_clock.now();
 }
 
-void Fleet::crash(const std::string &instance)
+auto Fleet::crash(const std::string &instance) -> void
 {
     auto &node = m_nodes.at(instance);
     node.instance.reset();
     node.unsynced.clear();
 }
 
-void Fleet::restart(const std::string &instance)
+auto Fleet::restart(const std::string &instance) -> void
 {
     auto &node = m_nodes.at(instance);
     if (!node.instance)
         boot(instance, node);
 }
 
-void Fleet::setFrozen(const std::string &instance, bool frozen)
+auto Fleet::setFrozen(const std::string &instance, bool frozen) -> void
 {
     m_nodes.at(instance).frozen = frozen;
 }
 
-void Fleet::setIsolated(const std::string &instance, bool isolated)
+auto Fleet::setIsolated(const std::string &instance, bool isolated) -> void
 {
     for (const auto &[other, node] : m_nodes) {
         m_link.setCut(instance, other, isolated);
@@ -224,7 +224,7 @@
     }
 }
 
-void Fleet::drain(const std::string &instance)
+auto Fleet::drain(const std::string &instance) -> void
 {
     m_nodes.at(instance).instance->drain(m_clock.now());
 }
@@ -307,7 +307,7 @@
     return request;
 }
 
-void Fleet::step(const std::string &name, Node &node)
+auto Fleet::step(const std::string &name, Node &node) -> void
 {
     if (!node.instance || node.frozen)
         return;
@@ -324,7 +324,7 @@
         carryOut(name, node, effect);
 }
 
-void Fleet::syncDisk(Node &node)
+auto Fleet::syncDisk(Node &node) -> void
 {
     std::map<GroupId, std::uint64_t> numbers;
     for (auto &item : node.unsynced) {
@@ -353,7 +353,7 @@
         node.instance->synced(m_clock.now(), group, number);
 }
 
-void Fleet::carryOut(const std::string &name, Node &node, daemon::Effect &effect)
+auto Fleet::carryOut(const std::string &name, Node &node, daemon::Effect &effect) -> void
 {
     if (auto *respond = std::get_if<daemon::Respond>(&effect)) {
         auto &received = m_received[respond->token];
@@ -394,7 +394,8 @@
     }
 }
 
-void Fleet::deliverToTarget(const std::string &name, Node &node, const http::Outgoing &request)
+auto Fleet::deliverToTarget(const std::string &name, Node &node, const http::Outgoing &request)
+    -> void
 {
     const auto found = std::find_if(m_targets.begin(), m_targets.end(), [&](const auto &item) {
         return request.url.find(item.second.address + "/") != std::string::npos;
@@ -440,8 +441,8 @@
     }
 }
 
-void Fleet::serveChat(FakeTarget &target, const std::string &name, Node &node,
-                      const http::Outgoing &request)
+auto Fleet::serveChat(FakeTarget &target, const std::string &name, Node &node,
+                      const http::Outgoing &request) -> void
 {
     const auto body = nlohmann::json::parse(request.body);
     if (!target.cutOn.empty() && request.body.find(target.cutOn) != std::string::npos) {
@@ -464,7 +465,7 @@
     target.engine->submit(m_clock.now(), std::move(work));
 }
 
-void Fleet::runEngines()
+auto Fleet::runEngines() -> void
 {
     for (auto &[id, target] : m_targets) {
         if (!target.engine || target.silent)
@@ -494,7 +495,7 @@
     }
 }
 
-void Fleet::keepAnnounced()
+auto Fleet::keepAnnounced() -> void
 {
     if (m_clock.now() < m_nextRenewal)
         return;
@@ -532,8 +533,8 @@
     }
 }
 
-void Fleet::answer(const std::string &node, std::uint64_t boot, std::uint64_t id, int status,
-                   const std::string &body, Duration after, const std::string &bootId)
+auto Fleet::answer(const std::string &node, std::uint64_t boot, std::uint64_t id, int status,
+                   const std::string &body, Duration after, const std::string &bootId) -> void
 {
     http::AnswerHead head{status, {{"content-type", "application/json"}}};
     if (!bootId.empty())
@@ -544,14 +545,14 @@
     m_events.emplace(at, TimedEvent{node, boot, {id, http::AnswerEnd{true, true, ""}}});
 }
 
-void Fleet::fail(const std::string &node, std::uint64_t boot, std::uint64_t id, bool sent,
-                 Duration after)
+auto Fleet::fail(const std::string &node, std::uint64_t boot, std::uint64_t id, bool sent,
+                 Duration after) -> void
 {
     m_events.emplace(m_clock.now() + after,
                      TimedEvent{node, boot, {id, http::AnswerEnd{false, sent, "failed"}}});
 }
 
-void Fleet::die(FakeTarget &target)
+auto Fleet::die(FakeTarget &target) -> void
 {
     target.dead = true;
     for (const auto &exchange : m_exchanges) {
--- a/libs/replay/src/fleet_backend.cpp
+++ b/libs/replay/src/fleet_backend.cpp
@@ -41,7 +41,7 @@
                                                     customer.budget, customer.priority);
 }
 
-void FleetBackend::run(Duration time)
+auto FleetBackend::run(Duration time) -> void
 {
     m_fleet.run(time);
     for (const auto &[id, target] : m_fleet.targets()) {
@@ -52,7 +52,7 @@
     }
 }
 
-void FleetBackend::startProgram(const TraceProgram &program)
+auto FleetBackend::startProgram(const TraceProgram &program) -> void
 {
     nlohmann::json body{{"id", program.name}, {"budget", program.budget}};
     if (program.maxTurns > 0)
@@ -100,7 +100,7 @@
     return answer;
 }
 
-void FleetBackend::inject(const TraceFailure &failure)
+auto FleetBackend::inject(const TraceFailure &failure) -> void
 {
     const auto &target = failure.target;
     if (failure.what == "kill-engine")
--- a/libs/replay/src/naive_backend.cpp
+++ b/libs/replay/src/naive_backend.cpp
@@ -28,7 +28,7 @@
     }
 }
 
-void NaiveBackend::run(Duration time)
+auto NaiveBackend::run(Duration time) -> void
 {
     const auto end = m_clock.now() + time;
     while (m_clock.now() < end) {
@@ -57,7 +57,7 @@
     }
 }
 
-void NaiveBackend::startProgram(const TraceProgram &program)
+auto NaiveBackend::startProgram(const TraceProgram &program) -> void
 {
     m_histories[program.name] = nlohmann::json::array();
 }
@@ -87,7 +87,7 @@
     return ticket;
 }
 
-void NaiveBackend::dispatch(Ticket ticket)
+auto NaiveBackend::dispatch(Ticket ticket) -> void
 {
     auto &work = m_work[ticket];
     for (std::size_t tried = 0; tried < m_engines.size(); ++tried) {
@@ -110,7 +110,7 @@
     return found->second;
 }
 
-void NaiveBackend::inject(const TraceFailure &failure)
+auto NaiveBackend::inject(const TraceFailure &failure) -> void
 {
     const auto dash = failure.target.rfind('-');
     const auto number = std::strtoul(failure.target.c_str() + dash + 1, nullptr, 10);
--- a/libs/replay/src/trace.cpp
+++ b/libs/replay/src/trace.cpp
@@ -10,14 +10,14 @@
 constexpr std::int64_t kMicrosPerMilli = 1000;
 
 template <typename T>
-void renderLine(std::ostream &out, const char *event, const T &item)
+auto renderLine(std::ostream &out, const char *event, const T &item) -> void
 {
     nlohmann::json json = item;
     json["event"] = event;
     out << json.dump() << '\n';
 }
 
-void takeLine(Trace &trace, const nlohmann::json &json)
+auto takeLine(Trace &trace, const nlohmann::json &json) -> void
 {
     const auto event = json.at("event").get<std::string>();
     if (event == "fleet")
@@ -73,7 +73,7 @@
         return m_settings.arrivals;
     }
 
-    void addCustomers()
+    auto addCustomers() -> void
     {
         constexpr int kCustomers = 8;
         const auto kumasi = m_settings.day == Day::KumasiQuotes;
@@ -115,7 +115,7 @@
         return program;
     }
 
-    void addLoudCustomer(double end)
+    auto addLoudCustomer(double end) -> void
     {
         TraceCustomer loud;
         loud.name = "loud";
@@ -137,7 +137,7 @@
         }
     }
 
-    void addFailures(double end)
+    auto addFailures(double end) -> void
     {
         const auto at = [end](double part) { return static_cast<std::int64_t>(end * part * 1000); };
         m_trace.failures = {
--- a/libs/replay/test/instance_test.cpp
+++ b/libs/replay/test/instance_test.cpp
@@ -27,7 +27,7 @@
         startProgram("p");
     }
 
-    void startProgram(const std::string &name)
+    auto startProgram(const std::string &name) -> void
     {
         const auto started =
             fleet.call("x1", Fleet::callerRequest(key, "POST", "/v1/programs", {{"id", name}}));
--- a/libs/routing/include/heathergate/routing/health.h
+++ b/libs/routing/include/heathergate/routing/health.h
@@ -9,11 +9,11 @@
 class Health
 {
 public:
-    void succeeded(TimePoint now);
-    void failed(TimePoint now);
+    auto succeeded(TimePoint now) -> void;
+    auto failed(TimePoint now) -> void;
     /// Takes in that the upstream was silent until a time-out, which ejects it at once: each
     /// further try would cost a time-out too.
-    void silent(TimePoint now);
+    auto silent(TimePoint now) -> void;
 
     /// Returns whether requests may be sent now.
     [[nodiscard]] auto isAvailable(TimePoint now) const -> bool
@@ -25,7 +25,7 @@
     [[nodiscard]] auto share(TimePoint now) const -> double;
 
 private:
-    void eject(TimePoint now);
+    auto eject(TimePoint now) -> void;
 
     int m_failures = 0;
     int m_ejections = 0;
--- a/libs/routing/include/heathergate/routing/prefix_index.h
+++ b/libs/routing/include/heathergate/routing/prefix_index.h
@@ -35,9 +35,9 @@
     }
 
     /// Notes that the upstream processed this prompt.
-    void touch(const PromptPrefixes &prompt);
+    auto touch(const PromptPrefixes &prompt) -> void;
     /// Notes that the upstream evicted the prefix with this hash.
-    void evict(std::uint64_t hash);
+    auto evict(std::uint64_t hash) -> void;
     /// Returns how many tokens of the prompt the cache is estimated to hold.
     [[nodiscard]] auto cachedTokens(const PromptPrefixes &prompt) const -> std::int64_t;
 
@@ -48,7 +48,7 @@
         std::int64_t tokens = 0;
     };
 
-    void remove(std::list<Item>::iterator item);
+    auto remove(std::list<Item>::iterator item) -> void;
 
     std::int64_t m_capacity;
     std::int64_t m_used = 0;
--- a/libs/routing/include/heathergate/routing/retry_budget.h
+++ b/libs/routing/include/heathergate/routing/retry_budget.h
@@ -12,7 +12,7 @@
 {
 public:
     /// Counts a first attempt.
-    void deposit()
+    auto deposit() -> void
     {
         m_balance = std::min(kMost, m_balance + kFraction);
     }
--- a/libs/routing/include/heathergate/routing/router.h
+++ b/libs/routing/include/heathergate/routing/router.h
@@ -60,7 +60,7 @@
     }
 
     /// Replaces the list of targets; what is known of an incarnation that stays is kept.
-    void setTargets(const std::vector<Target> &targets)
+    auto setTargets(const std::vector<Target> &targets) -> void
     {
         std::unordered_map<UpstreamId, State> kept;
         m_lanes.clear();
@@ -85,7 +85,7 @@
     /// Takes in a load report: requests running and queued there, of all instances. A report may
     /// be seconds old, so what exceeds this instance's own recent peak counts as the others' load,
     /// smoothed.
-    void reportLoad(TimePoint now, const UpstreamId &id, int requests)
+    auto reportLoad(TimePoint now, const UpstreamId &id, int requests) -> void
     {
         if (auto *state = find(id)) {
             if (now - state->peakSince > kReportLag) {
@@ -103,7 +103,7 @@
 
     /// Sets this instance's part of the fleet's requests, from 0 to 1. It bounds how much of an
     /// upstream's slots it fills: reports of load lag too much to be a bound.
-    void setShare(double share)
+    auto setShare(double share) -> void
     {
         m_share = std::clamp(share, 0.0, 1.0);
     }
@@ -140,7 +140,7 @@
     }
 
     /// Notes that a request was sent.
-    void dispatched(const UpstreamId &id, const PromptPrefixes &prompt)
+    auto dispatched(const UpstreamId &id, const PromptPrefixes &prompt) -> void
     {
         if (auto *state = find(id)) {
             ++state->inFlight;
@@ -150,7 +150,8 @@
     }
 
     /// Notes that a request has ended, and how.
-    void finished(TimePoint now, const UpstreamId &id, std::uint64_t incarnation, Ending ending)
+    auto finished(TimePoint now, const UpstreamId &id, std::uint64_t incarnation, Ending ending)
+        -> void
     {
         auto *state = find(id);
         if (state == nullptr || state->target.incarnation != incarnation)
@@ -165,7 +166,7 @@
     }
 
     /// Notes a cache event: the upstream evicted a prefix.
-    void evicted(const UpstreamId &id, std::uint64_t hash)
+    auto evicted(const UpstreamId &id, std::uint64_t hash) -> void
     {
         if (auto *state = find(id))
             state->prefixes.evict(hash);
@@ -224,7 +225,7 @@
         return found == m_states.end() ? nullptr : &found->second;
     }
 
-    void addToLanes(State &state)
+    auto addToLanes(State &state) -> void
     {
         if (state.target.draining)
             return;
--- a/libs/routing/include/heathergate/routing/work_queue.h
+++ b/libs/routing/include/heathergate/routing/work_queue.h
@@ -42,13 +42,13 @@
     /// Takes the request that goes next; nothing if the queue is empty.
     [[nodiscard]] auto pop(TimePoint now) -> std::optional<WorkItem>;
     /// Puts back a request that `pop` returned but that could not be sent, at no charge.
-    void putBack(const WorkItem &item);
+    auto putBack(const WorkItem &item) -> void;
     /// Removes a request. Returns whether it was there.
     auto remove(std::uint64_t request) -> bool;
     /// Takes all requests whose deadline has passed.
     [[nodiscard]] auto takeExpired(TimePoint now) -> std::vector<WorkItem>;
     /// Corrects the charge for a request's work once it is known.
-    void charge(const CustomerId &customer, int priority, double weight, double difference);
+    auto charge(const CustomerId &customer, int priority, double weight, double difference) -> void;
 
     [[nodiscard]] auto size() const -> std::size_t
     {
--- a/libs/routing/src/health.cpp
+++ b/libs/routing/src/health.cpp
@@ -14,26 +14,26 @@
 
 } // namespace
 
-void Health::succeeded(TimePoint now)
+auto Health::succeeded(TimePoint now) -> void
 {
     m_failures = 0;
     if (now > m_ejectedUntil + kSlowStart)
         m_ejections = 0;
 }
 
-void Health::failed(TimePoint now)
+auto Health::failed(TimePoint now) -> void
 {
     if (++m_failures < kFailuresToEject)
         return;
     eject(now);
 }
 
-void Health::silent(TimePoint now)
+auto Health::silent(TimePoint now) -> void
 {
     eject(now);
 }
 
-void Health::eject(TimePoint now)
+auto Health::eject(TimePoint now) -> void
 {
     m_failures = kFailuresToEject - 1;
     m_ejectedUntil = now + kFirstEjection * (1 << std::min(m_ejections, kMaxDoublings));
--- a/libs/routing/src/prefix_index.cpp
+++ b/libs/routing/src/prefix_index.cpp
@@ -2,7 +2,7 @@
 
 namespace heathergate::routing {
 
-void PrefixIndex::touch(const PromptPrefixes &prompt)
+auto PrefixIndex::touch(const PromptPrefixes &prompt) -> void
 {
     std::int64_t covered = 0;
     for (const auto &prefix : prompt.prefixes) {
@@ -20,7 +20,7 @@
         remove(std::prev(m_items.end()));
 }
 
-void PrefixIndex::evict(std::uint64_t hash)
+auto PrefixIndex::evict(std::uint64_t hash) -> void
 {
     const auto known = m_byHash.find(hash);
     if (known != m_byHash.end())
@@ -38,7 +38,7 @@
     return tokens;
 }
 
-void PrefixIndex::remove(std::list<Item>::iterator item)
+auto PrefixIndex::remove(std::list<Item>::iterator item) -> void
 {
     m_used -= item->tokens;
     m_byHash.erase(item->hash);
--- a/libs/routing/src/work_queue.cpp
+++ b/libs/routing/src/work_queue.cpp
@@ -53,7 +53,7 @@
     return item;
 }
 
-void WorkQueue::putBack(const WorkItem &item)
+auto WorkQueue::putBack(const WorkItem &item) -> void
 {
     auto &group = m_classes[item.priority];
     auto &queue = group.customers[item.customer];
@@ -95,7 +95,8 @@
     return expired;
 }
 
-void WorkQueue::charge(const CustomerId &customer, int priority, double weight, double difference)
+auto WorkQueue::charge(const CustomerId &customer, int priority, double weight, double difference)
+    -> void
 {
     m_classes[priority].customers[customer].virtualTime += difference / weight;
 }
--- a/libs/storage/include/heathergate/storage/log_writer.h
+++ b/libs/storage/include/heathergate/storage/log_writer.h
@@ -23,7 +23,7 @@
 namespace internal {
 
 /// Takes a stored record into the state being recovered.
-inline void takeRecord(consensus::RecoveredState &state, wire::StoredRecord record)
+inline auto takeRecord(consensus::RecoveredState &state, wire::StoredRecord record) -> void
 {
     if (record.hardState)
         state.hardState = *record.hardState;
@@ -157,10 +157,10 @@
 
     /// Hands over steps; called by one thread. Waits while the ring is full: consensus counts on
     /// every write.
-    void write(std::vector<StorageStep> steps);
+    auto write(std::vector<StorageStep> steps) -> void;
 
 private:
-    void run();
+    auto run() -> void;
     [[nodiscard]] auto store(const std::vector<StorageStep> &steps) -> bool;
     [[nodiscard]] auto retryWhileFull(const std::function<Result<void>()> &action) -> bool;
 
--- a/libs/storage/src/log_writer.cpp
+++ b/libs/storage/src/log_writer.cpp
@@ -34,14 +34,14 @@
     m_thread.join();
 }
 
-void LogWriter::write(std::vector<StorageStep> steps)
+auto LogWriter::write(std::vector<StorageStep> steps) -> void
 {
     // A push that fails leaves its argument as it was.
     while (!m_ring.push(std::move(steps))) // NOLINT(bugprone-use-after-move)
         std::this_thread::sleep_for(kFullRingPause);
 }
 
-void LogWriter::run()
+auto LogWriter::run() -> void
 {
     while (true) {
         std::vector<StorageStep> steps;
--- a/libs/telemetry/include/heathergate/telemetry/internal/bucket_counts.h
+++ b/libs/telemetry/include/heathergate/telemetry/internal/bucket_counts.h
@@ -30,7 +30,7 @@
     }
 
     template <typename Arguments>
-    void operator()(const Arguments &arguments)
+    auto operator()(const Arguments &arguments) -> void
     {
         const double sample = arguments[boost::accumulators::sample];
         for (std::size_t i = 0; i < kBucketBounds.size(); ++i) {
--- a/libs/telemetry/include/heathergate/telemetry/logging.h
+++ b/libs/telemetry/include/heathergate/telemetry/logging.h
@@ -13,7 +13,7 @@
 [[nodiscard]] auto parseLogLevel(std::string_view name) -> Result<LogLevel>;
 
 /// Starts logging to standard error from `level` upwards; `instance` stands in each line.
-void startLogging(LogLevel level, const std::string &instance);
+auto startLogging(LogLevel level, const std::string &instance) -> void;
 
 /// Writes lines with the fixed prefix of one part. Keys and secrets never go into a log.
 class Logger
@@ -25,13 +25,13 @@
     {
     }
 
-    void debug(std::string_view sentence) const;
-    void info(std::string_view sentence) const;
-    void warning(std::string_view sentence) const;
-    void error(std::string_view sentence) const;
+    auto debug(std::string_view sentence) const -> void;
+    auto info(std::string_view sentence) const -> void;
+    auto warning(std::string_view sentence) const -> void;
+    auto error(std::string_view sentence) const -> void;
 
 private:
-    void write(LogLevel level, std::string_view sentence) const;
+    auto write(LogLevel level, std::string_view sentence) const -> void;
 
     std::string m_prefix;
 };
--- a/libs/telemetry/include/heathergate/telemetry/metrics.h
+++ b/libs/telemetry/include/heathergate/telemetry/metrics.h
@@ -15,11 +15,11 @@
 {
 public:
     /// Adds to a counter.
-    void count(const std::string &name, const Labels &labels, double amount = 1);
+    auto count(const std::string &name, const Labels &labels, double amount = 1) -> void;
     /// Sets a gauge.
-    void set(const std::string &name, const Labels &labels, double value);
+    auto set(const std::string &name, const Labels &labels, double value) -> void;
     /// Adds a time to a histogram, in seconds.
-    void observe(const std::string &name, const Labels &labels, Duration value);
+    auto observe(const std::string &name, const Labels &labels, Duration value) -> void;
 
     /// Returns all metrics in the Prometheus text format.
     [[nodiscard]] auto render() const -> std::string;
--- a/libs/telemetry/src/latency_histogram.cpp
+++ b/libs/telemetry/src/latency_histogram.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void LatencyHistogram::record(Duration value)
+auto LatencyHistogram::record(Duration value) -> void
 {
     const auto bounded = std::max(Duration::zero(), value);
     ++m_buckets[bucketOf(static_cast<std::uint64_t>(bounded.count()))];
--- a/libs/telemetry/src/logging.cpp
+++ b/libs/telemetry/src/logging.cpp
@@ -24,8 +24,8 @@
 using Source = blog::sources::severity_logger_mt<LogLevel>;
 using Backend = blog::sinks::text_ostream_backend;
 
-void formatLine(const std::string &instance, const blog::record_view &record,
-                blog::formatting_ostream &out)
+auto formatLine(const std::string &instance, const blog::record_view &record,
+                blog::formatting_ostream &out) -> void
 {
     const auto level = blog::extract<LogLevel>("Severity", record);
     const auto time = blog::extract<boost::posix_time::ptime>("TimeStamp", record);
@@ -53,7 +53,7 @@
     return fail(Code::BadSetting, "must be debug, info, warning or error");
 }
 
-void startLogging(LogLevel level, const std::string &instance)
+auto startLogging(LogLevel level, const std::string &instance) -> void
 {
     auto backend = boost::make_shared<Backend>();
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
@@ -71,27 +71,27 @@
     blog::add_common_attributes();
 }
 
-void Logger::debug(std::string_view sentence) const
+auto Logger::debug(std::string_view sentence) const -> void
 {
     write(LogLevel::Debug, sentence);
 }
 
-void Logger::info(std::string_view sentence) const
+auto Logger::info(std::string_view sentence) const -> void
 {
     write(LogLevel::Info, sentence);
 }
 
-void Logger::warning(std::string_view sentence) const
+auto Logger::warning(std::string_view sentence) const -> void
 {
     write(LogLevel::Warning, sentence);
 }
 
-void Logger::error(std::string_view sentence) const
+auto Logger::error(std::string_view sentence) const -> void
 {
     write(LogLevel::Error, sentence);
 }
 
-void Logger::write(LogLevel level, std::string_view sentence) const
+auto Logger::write(LogLevel level, std::string_view sentence) const -> void
 {
     BOOST_LOG_SEV(source(), level) << m_prefix << ": " << sentence;
 }
--- a/libs/telemetry/src/metrics.cpp
+++ b/libs/telemetry/src/metrics.cpp
@@ -27,16 +27,16 @@
     return labels.empty() ? "" : "{" + labels + "}";
 }
 
-void renderSimple(std::ostream &out, const std::string &type, const std::string &name,
-                  const std::map<std::string, double> &series)
+auto renderSimple(std::ostream &out, const std::string &type, const std::string &name,
+                  const std::map<std::string, double> &series) -> void
 {
     out << "# TYPE " << name << ' ' << type << '\n';
     for (const auto &[labels, value] : series)
         out << name << braced(labels) << ' ' << value << '\n';
 }
 
-void renderHistogram(std::ostream &out, const std::string &name, const std::string &labels,
-                     const internal::HistogramSet &set)
+auto renderHistogram(std::ostream &out, const std::string &name, const std::string &labels,
+                     const internal::HistogramSet &set) -> void
 {
     const auto separator = labels.empty() ? "" : ",";
     const auto counts = acc::extract_result<internal::tag::BucketCounts>(set);
@@ -50,17 +50,17 @@
 
 } // namespace
 
-void Metrics::count(const std::string &name, const Labels &labels, double amount)
+auto Metrics::count(const std::string &name, const Labels &labels, double amount) -> void
 {
     m_counters[name][seriesOf(labels)] += amount;
 }
 
-void Metrics::set(const std::string &name, const Labels &labels, double value)
+auto Metrics::set(const std::string &name, const Labels &labels, double value) -> void
 {
     m_gauges[name][seriesOf(labels)] = value;
 }
 
-void Metrics::observe(const std::string &name, const Labels &labels, Duration value)
+auto Metrics::observe(const std::string &name, const Labels &labels, Duration value) -> void
 {
     m_histograms[name][seriesOf(labels)](std::chrono::duration<double>(value).count());
 }
--- a/libs/testing/include/heathergate/testing/consensus_group.h
+++ b/libs/testing/include/heathergate/testing/consensus_group.h
@@ -17,7 +17,7 @@
                    consensus::Settings settings = {});
 
     /// Lets time pass in steps of one millisecond.
-    void run(Duration time);
+    auto run(Duration time) -> void;
     /// Runs until a replica may serve reads, at most `limit`. Returns its name; empty if none does.
     [[nodiscard]] auto runUntilLeader(Duration limit) -> std::string;
     /// Runs until every live replica has applied `index`. Returns whether that came to be.
@@ -26,18 +26,18 @@
     /// Proposes at the current leader. Returns the index; 0 if there is no leader.
     auto propose(const std::string &payload) -> consensus::Index;
 
-    void crash(const std::string &name);
-    void restart(const std::string &name);
+    auto crash(const std::string &name) -> void;
+    auto restart(const std::string &name) -> void;
     /// Freezes a replica without crashing it, or thaws it.
-    void setFrozen(const std::string &name, bool frozen);
+    auto setFrozen(const std::string &name, bool frozen) -> void;
     /// Adds a replica with an empty disk that waits to be added.
-    void addEmpty(const std::string &name);
+    auto addEmpty(const std::string &name) -> void;
     /// Cuts a replica off in both directions, or heals it.
-    void setIsolated(const std::string &name, bool isolated);
+    auto setIsolated(const std::string &name, bool isolated) -> void;
     /// Sets the rate of a replica's clock in parts per million above or below true time.
-    void setClockError(const std::string &name, std::int64_t ppm);
+    auto setClockError(const std::string &name, std::int64_t ppm) -> void;
     /// Stops or resumes syncing at a replica.
-    void setDiskStalled(const std::string &name, bool stalled);
+    auto setDiskStalled(const std::string &name, bool stalled) -> void;
 
     [[nodiscard]] auto replica(const std::string &name) -> consensus::Replica &;
     [[nodiscard]] auto applied(const std::string &name) const
@@ -58,7 +58,7 @@
         return m_violation;
     }
     /// Takes a snapshot of what a replica has applied.
-    void compact(const std::string &name);
+    auto compact(const std::string &name) -> void;
 
 private:
     struct Node
@@ -74,16 +74,17 @@
         bool isGenesis = true;
     };
 
-    void start(const std::string &name, Node &node);
-    void step(const std::string &name, Node &node);
-    void collect(const std::string &name, Node &node);
-    void syncDisk(const std::string &name, Node &node);
-    static void store(consensus::RecoveredState &disk, const consensus::StorageWrite &write);
-    void checkAgreement(const std::string &name, const consensus::Entry &entry);
-    void checkOneReader();
-    void checkGroupTime();
+    auto start(const std::string &name, Node &node) -> void;
+    auto step(const std::string &name, Node &node) -> void;
+    auto collect(const std::string &name, Node &node) -> void;
+    auto syncDisk(const std::string &name, Node &node) -> void;
+    static auto store(consensus::RecoveredState &disk, const consensus::StorageWrite &write)
+        -> void;
+    auto checkAgreement(const std::string &name, const consensus::Entry &entry) -> void;
+    auto checkOneReader() -> void;
+    auto checkGroupTime() -> void;
     [[nodiscard]] auto local(const Node &node) const -> TimePoint;
-    void note(const std::string &violation);
+    auto note(const std::string &violation) -> void;
 
     consensus::Settings m_settings;
     consensus::Configuration m_genesis;
--- a/libs/testing/include/heathergate/testing/fake_engine.h
+++ b/libs/testing/include/heathergate/testing/fake_engine.h
@@ -56,11 +56,11 @@
     }
 
     /// Adds a request, which waits if all slots are taken.
-    void submit(TimePoint now, FakeEngineRequest request);
+    auto submit(TimePoint now, FakeEngineRequest request) -> void;
     /// Gives up a request.
-    void cancel(TimePoint now, std::uint64_t id);
+    auto cancel(TimePoint now, std::uint64_t id) -> void;
     /// Forgets what is held for a program.
-    void release(const std::string &program);
+    auto release(const std::string &program) -> void;
     /// Returns what was produced up to `now`.
     [[nodiscard]] auto advance(TimePoint now) -> std::vector<FakeEngineEvent>;
     /// Returns when the next token is due.
@@ -93,7 +93,7 @@
         TimePoint nextToken{};
     };
 
-    void admit(TimePoint now);
+    auto admit(TimePoint now) -> void;
     [[nodiscard]] auto produce(Running &running) -> FakeEngineEvent;
     [[nodiscard]] auto interval() const -> Duration;
 
--- a/libs/testing/include/heathergate/testing/fake_files.h
+++ b/libs/testing/include/heathergate/testing/fake_files.h
@@ -73,7 +73,7 @@
 
     /// Loses every byte and every name that was not synced, but for the first `kept` bytes of the
     /// unsynced tail of each file.
-    void crash(std::size_t kept = 0)
+    auto crash(std::size_t kept = 0) -> void
     {
         std::map<std::string, File> left;
         for (auto &[name, durable] : m_durable) {
@@ -88,7 +88,7 @@
     }
 
     /// Limits the bytes that can still be appended; nothing lifts the limit.
-    void setSpaceLeft(std::optional<std::size_t> bytes)
+    auto setSpaceLeft(std::optional<std::size_t> bytes) -> void
     {
         m_spaceLeft = bytes;
     }
--- a/libs/testing/include/heathergate/testing/fake_link.h
+++ b/libs/testing/include/heathergate/testing/fake_link.h
@@ -34,13 +34,13 @@
     {
     }
 
-    void setFaults(const LinkFaults &faults)
+    auto setFaults(const LinkFaults &faults) -> void
     {
         m_faults = faults;
     }
 
     /// Cuts the way from one node to another, or heals it.
-    void setCut(const std::string &from, const std::string &to, bool cut)
+    auto setCut(const std::string &from, const std::string &to, bool cut) -> void
     {
         if (cut)
             m_cuts.emplace(from, to);
@@ -48,12 +48,13 @@
             m_cuts.erase({from, to});
     }
 
-    void healAll()
+    auto healAll() -> void
     {
         m_cuts.clear();
     }
 
-    void send(TimePoint now, const std::string &from, const std::string &to, Message message)
+    auto send(TimePoint now, const std::string &from, const std::string &to, Message message)
+        -> void
     {
         const auto copies = m_random.unit() < m_faults.duplicate ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
--- a/libs/testing/include/heathergate/testing/manual_clock.h
+++ b/libs/testing/include/heathergate/testing/manual_clock.h
@@ -13,7 +13,7 @@
         return m_now;
     }
 
-    void advance(Duration by)
+    auto advance(Duration by) -> void
     {
         m_now += by;
     }
--- a/libs/testing/src/consensus_group.cpp
+++ b/libs/testing/src/consensus_group.cpp
@@ -22,7 +22,7 @@
         start(name, m_nodes[name]);
 }
 
-void ConsensusGroup::run(Duration time)
+auto ConsensusGroup::run(Duration time) -> void
 {
     const auto end = m_clock.now() + time;
     while (m_clock.now() < end) {
@@ -78,33 +78,33 @@
     return 0;
 }
 
-void ConsensusGroup::crash(const std::string &name)
+auto ConsensusGroup::crash(const std::string &name) -> void
 {
     auto &node = m_nodes.at(name);
     node.replica.reset();
     node.unsynced.clear();
 }
 
-void ConsensusGroup::restart(const std::string &name)
+auto ConsensusGroup::restart(const std::string &name) -> void
 {
     auto &node = m_nodes.at(name);
     if (!node.replica)
         start(name, node);
 }
 
-void ConsensusGroup::setFrozen(const std::string &name, bool frozen)
+auto ConsensusGroup::setFrozen(const std::string &name, bool frozen) -> void
 {
     m_nodes.at(name).frozen = frozen;
 }
 
-void ConsensusGroup::addEmpty(const std::string &name)
+auto ConsensusGroup::addEmpty(const std::string &name) -> void
 {
     auto &node = m_nodes[name];
     node.isGenesis = false;
     start(name, node);
 }
 
-void ConsensusGroup::setIsolated(const std::string &name, bool isolated)
+auto ConsensusGroup::setIsolated(const std::string &name, bool isolated) -> void
 {
     for (const auto &[other, node] : m_nodes) {
         m_link.setCut(name, other, isolated);
@@ -112,12 +112,12 @@
     }
 }
 
-void ConsensusGroup::setClockError(const std::string &name, std::int64_t ppm)
+auto ConsensusGroup::setClockError(const std::string &name, std::int64_t ppm) -> void
 {
     m_nodes.at(name).clockError = ppm;
 }
 
-void ConsensusGroup::setDiskStalled(const std::string &name, bool stalled)
+auto ConsensusGroup::setDiskStalled(const std::string &name, bool stalled) -> void
 {
     m_nodes.at(name).stalled = stalled;
 }
@@ -137,7 +137,7 @@
     return local(m_nodes.at(name));
 }
 
-void ConsensusGroup::compact(const std::string &name)
+auto ConsensusGroup::compact(const std::string &name) -> void
 {
     auto &node = m_nodes.at(name);
     const auto index = node.replica->commitIndex();
@@ -149,7 +149,7 @@
     node.disk.hardState = retained.hardState;
 }
 
-void ConsensusGroup::start(const std::string &name, Node &node)
+auto ConsensusGroup::start(const std::string &name, Node &node) -> void
 {
     node.applied.clear();
     node.replica = std::make_unique<consensus::Replica>(
@@ -159,7 +159,7 @@
     collect(name, node);
 }
 
-void ConsensusGroup::step(const std::string &name, Node &node)
+auto ConsensusGroup::step(const std::string &name, Node &node) -> void
 {
     if (!node.replica || node.frozen)
         return;
@@ -171,7 +171,7 @@
     collect(name, node);
 }
 
-void ConsensusGroup::collect(const std::string &name, Node &node)
+auto ConsensusGroup::collect(const std::string &name, Node &node) -> void
 {
     auto effects = node.replica->takeEffects(local(node));
     if (effects.installed)
@@ -190,7 +190,7 @@
     }
 }
 
-void ConsensusGroup::syncDisk(const std::string &, Node &node)
+auto ConsensusGroup::syncDisk(const std::string &, Node &node) -> void
 {
     for (const auto &write : node.unsynced)
         store(node.disk, write);
@@ -199,7 +199,8 @@
     node.replica->synced(local(node), number);
 }
 
-void ConsensusGroup::store(consensus::RecoveredState &disk, const consensus::StorageWrite &write)
+auto ConsensusGroup::store(consensus::RecoveredState &disk, const consensus::StorageWrite &write)
+    -> void
 {
     if (write.hardState)
         disk.hardState = *write.hardState;
@@ -214,14 +215,14 @@
     }
 }
 
-void ConsensusGroup::checkAgreement(const std::string &name, const consensus::Entry &entry)
+auto ConsensusGroup::checkAgreement(const std::string &name, const consensus::Entry &entry) -> void
 {
     const auto [known, added] = m_chosen.emplace(entry.index, entry);
     if (!added && known->second != entry)
         note(name + " applied another entry at index " + std::to_string(entry.index));
 }
 
-void ConsensusGroup::checkOneReader()
+auto ConsensusGroup::checkOneReader() -> void
 {
     std::string reader;
     for (const auto &[name, node] : m_nodes) {
@@ -234,7 +235,7 @@
     }
 }
 
-void ConsensusGroup::checkGroupTime()
+auto ConsensusGroup::checkGroupTime() -> void
 {
     const auto trueTime = m_clock.now() - m_startedAt;
     for (const auto &[name, node] : m_nodes) {
@@ -249,7 +250,7 @@
     return m_clock.now() + Duration(elapsed.count() * node.clockError / 1'000'000);
 }
 
-void ConsensusGroup::note(const std::string &violation)
+auto ConsensusGroup::note(const std::string &violation) -> void
 {
     if (m_violation.empty())
         m_violation = violation;
--- a/libs/testing/src/fake_engine.cpp
+++ b/libs/testing/src/fake_engine.cpp
@@ -34,7 +34,7 @@
     return prompt;
 }
 
-void FakeEngine::submit(TimePoint now, FakeEngineRequest request)
+auto FakeEngine::submit(TimePoint now, FakeEngineRequest request) -> void
 {
     const auto after = [&](const FakeEngineRequest &other) {
         return other.priority > request.priority;
@@ -44,14 +44,14 @@
     admit(now);
 }
 
-void FakeEngine::cancel(TimePoint now, std::uint64_t id)
+auto FakeEngine::cancel(TimePoint now, std::uint64_t id) -> void
 {
     m_running.erase(id);
     std::erase_if(m_waiting, [id](const auto &request) { return request.id == id; });
     admit(now);
 }
 
-void FakeEngine::release(const std::string &program)
+auto FakeEngine::release(const std::string &program) -> void
 {
     m_programs.erase(program);
 }
@@ -86,7 +86,7 @@
     return next;
 }
 
-void FakeEngine::admit(TimePoint now)
+auto FakeEngine::admit(TimePoint now) -> void
 {
     while (!m_waiting.empty() && static_cast<int>(m_running.size()) < m_settings.slots) {
         Running running;
--- a/libs/wire/src/messages.cpp
+++ b/libs/wire/src/messages.cpp
@@ -230,12 +230,12 @@
     return builder.CreateVector(offsets);
 }
 
-void finish(Builder &builder, fb::PeerBody type, Offset<void> body)
+auto finish(Builder &builder, fb::PeerBody type, Offset<void> body) -> void
 {
     builder.Finish(fb::CreatePeerFrame(builder, type, body));
 }
 
-void putFrame(Builder &builder, const ConsensusMessage &message)
+auto putFrame(Builder &builder, const ConsensusMessage &message) -> void
 {
     const auto part =
         std::visit([&](const auto &body) { return put(builder, body); }, message.envelope.message);
@@ -245,7 +245,7 @@
            fb::CreateConsensus(builder, message.group, from, to, part.type, part.offset).Union());
 }
 
-void putFrame(Builder &builder, const Request &request)
+auto putFrame(Builder &builder, const Request &request) -> void
 {
     const auto body = putBytes(builder, request.body);
     finish(builder, fb::PeerBody::Request,
@@ -254,7 +254,7 @@
                .Union());
 }
 
-void putFrame(Builder &builder, const Reply &reply)
+auto putFrame(Builder &builder, const Reply &reply) -> void
 {
     Offset<fb::Error> error;
     if (reply.error) {
@@ -269,7 +269,7 @@
            fb::CreateReply(builder, reply.id, error, leader, body).Union());
 }
 
-void putFrame(Builder &builder, const Follow &follow)
+auto putFrame(Builder &builder, const Follow &follow) -> void
 {
     const auto upstreams = put(builder, follow.upstreams);
     finish(builder, fb::PeerBody::Follow,
@@ -278,7 +278,7 @@
                .Union());
 }
 
-void putFrame(Builder &builder, const FeedMessage &message)
+auto putFrame(Builder &builder, const FeedMessage &message) -> void
 {
     const auto &feed = message.feed;
     Offset<flatbuffers::Vector<std::uint8_t>> state;
