Elect sooner after a restart, and let replicas that stood still listen first

Replicas waited 330 to 660 ms from the end of their start although the start itself had outlasted any lease; the elected leader then applied 5,300 log entries in one go, found that nobody had answered for 350 ms, and deposed itself before it read the answers.

Ruled out: reading the log (a start with 5,321 entries took as long as an empty one); a shorter election timeout (processor shares of 0.3 make 330 ms tight already).

Three stories of the replica were red on the former code.

--- a/libs/consensus/include/heathergate/consensus/replica.h
+++ b/libs/consensus/include/heathergate/consensus/replica.h
@@ -191,6 +191,8 @@
 
     TimePoint m_electionDeadline{};
     TimePoint m_lastLeaderContact{};
+    /// A leader was heard, or this replica led, since the start.
+    bool m_heardLeader = false;
     TimePoint m_lastRound{};
     std::set<ReplicaId> m_votes;
     bool m_preVoting = false;
--- a/libs/consensus/include/heathergate/consensus/types.h
+++ b/libs/consensus/include/heathergate/consensus/types.h
@@ -201,6 +201,9 @@
     Duration heartbeatInterval = std::chrono::milliseconds(150);
     /// Shortest time without a leader after which an election starts; the longest is twice that.
     Duration electionTimeout = std::chrono::milliseconds(700);
+    /// When the process began, if that is known: whatever this replica confirmed before its
+    /// restart, it confirmed before then.
+    std::optional<TimePoint> processStart;
     std::size_t maxAppendBytes = 1024 * 1024;
     std::size_t maxEntriesInFlight = 8192;
     std::size_t snapshotPieceBytes = 256 * 1024;
--- a/libs/consensus/src/election.cpp
+++ b/libs/consensus/src/election.cpp
@@ -2,6 +2,13 @@
 
 namespace heathergate::consensus {
 
+namespace {
+
+/// Until a replica has heard a leader since its start, it waits for this part of the usual time.
+constexpr int kStartDivisor = 4;
+
+} // namespace
+
 auto Replica::startPreVote(TimePoint now) -> void
 {
     m_leader.reset();
@@ -123,6 +130,7 @@
     m_role = Role::Leader;
     m_leader = m_self;
     m_leaderSince = now;
+    m_heardLeader = true;
     m_transferDeadline.reset();
     m_incoming.reset();
     m_effects.leadershipChanged = true;
@@ -134,9 +142,17 @@
 
 auto Replica::resetElectionTimer(TimePoint now) -> void
 {
-    const auto spread = static_cast<std::uint64_t>(m_settings.electionTimeout.count());
-    m_electionDeadline = now + m_settings.electionTimeout
-                         + Duration(static_cast<std::int64_t>(m_random.below(spread)));
+    const auto spread = [&](Duration width) {
+        return Duration(
+            static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(width.count()))));
+    };
+    const auto whole = m_settings.electionTimeout;
+    // After a start there may be no leader at all. Asking soon disturbs none that is there: who
+    // hears it does not answer.
+    if (m_heardLeader)
+        m_electionDeadline = now + whole + spread(whole);
+    else
+        m_electionDeadline = now + whole / kStartDivisor + spread(whole / kStartDivisor);
 }
 
 auto Replica::hearsLeader(TimePoint now) const -> bool
--- a/libs/consensus/src/replica.cpp
+++ b/libs/consensus/src/replica.cpp
@@ -2,6 +2,13 @@
 
 namespace heathergate::consensus {
 
+namespace {
+
+/// A replica whose tick comes later than this part of the election timeout stood still meanwhile.
+constexpr int kLateDivisor = 4;
+
+} // namespace
+
 Replica::Replica(ReplicaId self, Settings settings, Configuration genesis, RecoveredState recovered,
                  Random random, TimePoint now)
     : m_self(std::move(self))
@@ -31,8 +38,9 @@
     m_clock.observe(m_log.lastTime(), now);
     // Before the restart this replica may have confirmed a leader's lease, so it neither votes
     // nor stands until such a lease has run out.
-    m_lastLeaderContact = now;
-    resetElectionTimer(now);
+    m_lastLeaderContact = std::min(settings.processStart.value_or(now), now);
+    const auto quietUntil = std::max(now, m_lastLeaderContact + m_settings.electionTimeout);
+    resetElectionTimer(quietUntil);
 }
 
 auto Replica::receive(TimePoint now, const Envelope &envelope) -> void
@@ -44,9 +52,12 @@
 
 auto Replica::tick(TimePoint now) -> void
 {
+    // What arrived while this replica stood still has not been read yet, so its silence says
+    // nothing of the others.
+    const auto stoodStill = now - nextDeadline() > m_settings.electionTimeout / kLateDivisor;
     if (m_role == Role::Leader) {
         const auto quorumLost = now - newestQuorumRound(now) > m_settings.electionTimeout;
-        if (quorumLost && now - m_leaderSince > m_settings.electionTimeout) {
+        if (quorumLost && !stoodStill && now - m_leaderSince > m_settings.electionTimeout) {
             becomeFollower(now, m_hardState.term, std::nullopt);
             return;
         }
@@ -61,6 +72,10 @@
     }
     if (now < m_electionDeadline)
         return;
+    if (stoodStill) {
+        m_electionDeadline = now + m_settings.heartbeatInterval;
+        return;
+    }
     resetElectionTimer(now);
     if (m_configuration.isVoter(m_self))
         startPreVote(now);
--- a/libs/consensus/src/replication.cpp
+++ b/libs/consensus/src/replication.cpp
@@ -11,6 +11,7 @@
     if (request.term > m_hardState.term || m_leader != from || m_role != Role::Follower)
         becomeFollower(now, request.term, from);
     m_lastLeaderContact = now;
+    m_heardLeader = true;
     resetElectionTimer(now);
     m_clock.observe(request.groupTime, now);
     m_lastRound = request.round;
--- a/libs/consensus/src/snapshot_transfer.cpp
+++ b/libs/consensus/src/snapshot_transfer.cpp
@@ -33,6 +33,7 @@
     if (piece.term > m_hardState.term || m_leader != from || m_role != Role::Follower)
         becomeFollower(now, piece.term, from);
     m_lastLeaderContact = now;
+    m_heardLeader = true;
     m_lastRound = piece.round;
     resetElectionTimer(now);
     if (piece.meta.index <= m_commit) {
--- a/libs/consensus/test/replica_test.cpp
+++ b/libs/consensus/test/replica_test.cpp
@@ -55,6 +55,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAllReplicasRestart)
+
+BOOST_AUTO_TEST_CASE(oneLeadsSoonAfterTheFormerLeaseHasRunOut)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ConsensusGroup group(seed, kThree);
+        group.runUntilLeader(5s);
+        for (const auto &name : kThree)
+            group.crash(name);
+        for (const auto &name : kThree)
+            group.restart(name);
+        // 700 ms of silence, and 350 ms at most until the first of them asks for votes.
+        BOOST_TEST(!group.runUntilLeader(1200ms).empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(theTimeThatTheirStartTookCountsAsSilence)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ConsensusGroup group(seed, kThree);
+        group.runUntilLeader(5s);
+        for (const auto &name : kThree)
+            group.crash(name);
+        group.run(600ms);
+        for (const auto &name : kThree)
+            group.restart(name, 500ms);
+        BOOST_TEST(!group.runUntilLeader(700ms).empty());
+        BOOST_TEST(group.violation() == "");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAllReplicasStandStill)
+
+BOOST_AUTO_TEST_CASE(theLeaderHearsItsQuorumBeforeItGivesUp)
+{
+    ConsensusGroup group(3, kThree);
+    const auto leader = group.runUntilLeader(5s);
+    const auto term = group.replica(leader).term();
+    for (const auto &name : kThree)
+        group.setFrozen(name, true);
+    group.run(5s);
+    for (const auto &name : kThree)
+        group.setFrozen(name, false);
+    BOOST_TEST(group.runUntilLeader(500ms) == leader);
+    BOOST_TEST(group.replica(leader).term() == term);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAVoteIsAsked)
 
 BOOST_AUTO_TEST_CASE(itIsGivenOnlyOnceItIsDurable)
--- a/libs/node/include/heathergate/node/control_program.h
+++ b/libs/node/include/heathergate/node/control_program.h
@@ -73,6 +73,11 @@
     /// Some heartbeats may be lost or late before an election begins.
     static constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(80);
     static constexpr Duration kElectionTimeout = std::chrono::milliseconds(330);
+    /// After a restart at most so many log entries are applied again, some 20 ms of work; a
+    /// snapshot takes a few milliseconds.
+    static constexpr consensus::Index kCompactAfter = 2000;
+    /// Log entries that are kept for followers that lag a little.
+    static constexpr std::size_t kRetainedEntries = 500;
     /// Time for a successor to take over.
     static constexpr Duration kHandOver = std::chrono::milliseconds(900);
 
@@ -133,6 +138,9 @@
         result.boot = randomNumber() | 1U;
         result.consensus.heartbeatInterval = kHeartbeatInterval;
         result.consensus.electionTimeout = kElectionTimeout;
+        result.consensus.retainedEntries = kRetainedEntries;
+        result.consensus.processStart = processStart();
+        result.compactAfter = kCompactAfter;
         result.seeds = m_process.seeds();
         result.faultTolerance = settings.faultTolerance;
         result.quotaWindow = settings.quotaWindow;
--- a/libs/node/include/heathergate/node/process.h
+++ b/libs/node/include/heathergate/node/process.h
@@ -89,6 +89,9 @@
 /// Installs handlers for the signals that processes react to; called before any thread starts.
 auto installSignals() -> void;
 
+/// Returns when this process began to run.
+[[nodiscard]] auto processStart() -> TimePoint;
+
 /// Returns a random number from the system's source.
 [[nodiscard]] auto randomNumber() -> std::uint64_t;
 
--- a/libs/node/src/process.cpp
+++ b/libs/node/src/process.cpp
@@ -26,6 +26,9 @@
 /// Time for which a peer may leave a message unanswered.
 constexpr Duration kPeerSilence = std::chrono::milliseconds(1200);
 
+/// Set while static objects are made, before anything else of the program runs.
+const TimePoint startedAt = net::BootClock().now();
+
 std::atomic<bool> stopRequested = false;
 std::atomic<bool> reloadRequested = false;
 
@@ -66,6 +69,11 @@
     sigaction(SIGPIPE, &action, nullptr);
 }
 
+auto processStart() -> TimePoint
+{
+    return startedAt;
+}
+
 auto randomNumber() -> std::uint64_t
 {
     std::uint64_t number = 0;
--- a/libs/testing/include/heathergate/testing/consensus_group.h
+++ b/libs/testing/include/heathergate/testing/consensus_group.h
@@ -27,7 +27,8 @@
     auto propose(const std::string &payload) -> consensus::Index;
 
     auto crash(const std::string &name) -> void;
-    auto restart(const std::string &name) -> void;
+    /// Starts a replica again; its process has run for `startup` by then.
+    auto restart(const std::string &name, Duration startup = {}) -> void;
     /// Freezes a replica without crashing it, or thaws it.
     auto setFrozen(const std::string &name, bool frozen) -> void;
     /// Adds a replica with an empty disk that waits to be added.
@@ -74,7 +75,7 @@
         bool isGenesis = true;
     };
 
-    auto start(const std::string &name, Node &node) -> void;
+    auto start(const std::string &name, Node &node, Duration startup = {}) -> void;
     auto step(const std::string &name, Node &node) -> void;
     auto collect(const std::string &name, Node &node) -> void;
     auto syncDisk(const std::string &name, Node &node) -> void;
--- a/libs/testing/src/consensus_group.cpp
+++ b/libs/testing/src/consensus_group.cpp
@@ -85,11 +85,11 @@
     node.unsynced.clear();
 }
 
-auto ConsensusGroup::restart(const std::string &name) -> void
+auto ConsensusGroup::restart(const std::string &name, Duration startup) -> void
 {
     auto &node = m_nodes.at(name);
     if (!node.replica)
-        start(name, node);
+        start(name, node, startup);
 }
 
 auto ConsensusGroup::setFrozen(const std::string &name, bool frozen) -> void
@@ -149,11 +149,13 @@
     node.disk.hardState = retained.hardState;
 }
 
-auto ConsensusGroup::start(const std::string &name, Node &node) -> void
+auto ConsensusGroup::start(const std::string &name, Node &node, Duration startup) -> void
 {
     node.applied.clear();
+    auto settings = m_settings;
+    settings.processStart = local(node) - startup;
     node.replica = std::make_unique<consensus::Replica>(
-        consensus::ReplicaId(name), m_settings,
+        consensus::ReplicaId(name), settings,
         node.isGenesis ? m_genesis : consensus::Configuration{}, node.disk, Random(m_random.next()),
         local(node));
     collect(name, node);
