Keep room for programs of better rank, learn their length sooner, place nearer

The plain services were short of places while their slots stood empty for a turnaround of some 5 ms. A third of the requests crossed failure domains.

Change: the forecast of a program's length is a plain mean at first and carries a margin of a quarter; programs of worse rank yield for a second to refused ones of better rank; short requests are sent ahead of a free slot; a way to another failure domain weighs 40 and 10 ms.

The refusal line of a limit now tells what decided.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -31,7 +31,7 @@
     /// Span over which a customer's requests are counted.
     Duration quotaWindow = std::chrono::seconds(5);
     /// Log entries after which the state is stored as a snapshot.
-    consensus::Index compactAfter = 20'000;
+    consensus::Index compactAfter = 2000;
 };
 
 /// Names a call of an operator, an upstream or a caller of the directory until it is answered.
--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -170,6 +170,8 @@
     [[nodiscard]] auto cost(const Upstream &upstream, const Work &work) const -> double;
     [[nodiscard]] auto isAvailable(TimePoint now, const Upstream &upstream, const Work &work) const
         -> bool;
+    /// Returns how many requests may be on their way to or at an upstream.
+    [[nodiscard]] auto places(const Upstream &upstream) const -> std::size_t;
     [[nodiscard]] static auto isAlive(TimePoint now, const Upstream &upstream) -> bool;
     [[nodiscard]] auto hasLivingUpstream(TimePoint now, const Work &work) const -> bool;
     [[nodiscard]] static auto keyOf(TimePoint now, const Work &work) -> QueueKey;
--- a/libs/fleet/include/heathergate/fleet/program_forecast.h
+++ b/libs/fleet/include/heathergate/fleet/program_forecast.h
@@ -35,10 +35,16 @@
         TimePoint lastAt{};
     };
 
+    struct Length
+    {
+        double mean = 0;
+        int samples = 0;
+    };
+
     auto forgetEnded(TimePoint now, std::unordered_map<std::string, Program> &programs) -> void;
 
     std::unordered_map<CustomerId, std::unordered_map<std::string, Program>> m_programs;
-    std::map<int, double> m_lengths;
+    std::map<int, Length> m_lengths;
 };
 
 } // namespace heathergate::fleet
--- a/libs/fleet/include/heathergate/fleet/quota_table.h
+++ b/libs/fleet/include/heathergate/fleet/quota_table.h
@@ -34,6 +34,11 @@
     bool isAdmitted = true;
     /// Time until an admitted request may go on, or until a refused one may come again.
     Duration wait{};
+    /// What decided: requests in the window, the most that it holds, and how many the customer's
+    /// open programs are expected to send.
+    std::size_t inWindow = 0;
+    std::size_t most = 0;
+    double expected = 0;
 };
 
 /// The limits of all customers over the whole fleet, kept by the leader alone: in any window of
@@ -42,7 +47,8 @@
 /// Answers this load: programs of several turns, with calls and sub-agents that come in clumps,
 /// from customers near or beyond their limit. A program is let in only if the window has room for
 /// what it and all open programs are still going to send, so that those that are let in get to
-/// their end. What a former leader let through comes from the replicated state.
+/// their end. While programs of a better rank are refused, those of a worse one are, too. What a
+/// former leader let through comes from the replicated state.
 class QuotaTable
 {
 public:
@@ -65,6 +71,8 @@
         std::deque<TimePoint> times;
         /// Time for which the last refused program was told to come again.
         TimePoint promised{};
+        /// When a program of each rank was refused last.
+        std::map<int, TimePoint> refusedAt;
     };
 
     [[nodiscard]] auto mostInWindow(const QuotaLimit &limit) const -> std::size_t;
@@ -72,8 +80,9 @@
         -> TimePoint;
     [[nodiscard]] auto programFitsAt(TimePoint now, const Window &window, std::size_t most,
                                      const QuotaRequest &request) -> TimePoint;
-    [[nodiscard]] auto refuse(TimePoint now, Window &window, TimePoint fitsAt, std::size_t most,
-                              int rank) const -> QuotaDecision;
+    /// Returns until when a program leaves the limit to refused ones of better rank.
+    [[nodiscard]] auto yieldsUntil(const Window &window, int rank) const -> TimePoint;
+    auto promise(Window &window, TimePoint fitsAt, std::size_t most, int rank) const -> TimePoint;
 
     Duration m_window;
     std::unordered_map<CustomerId, Window> m_windows;
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -95,6 +95,14 @@
         decision = m_quotas->take(now, quotaOf(message, *customer));
     if (!decision.isAdmitted) {
         m_metrics.count("heathergate_quota_refusals_total", {{"customer", message.customer}});
+        m_log.add(now, LogImportance::Important, "admission", "over_limit",
+                  {{"admission", message.request},
+                   {"customer", message.customer},
+                   {"program", message.program},
+                   {"begun", hasBegun(message) ? 1 : 0},
+                   {"in_window", decision.inWindow},
+                   {"most", decision.most},
+                   {"expected", static_cast<std::int64_t>(decision.expected)}});
         refuse(now, from, message.request, Code::RateExceeded, decision.wait);
         m_admissions.erase(message.request);
     } else if (decision.wait > Duration::zero()) {
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -15,8 +15,13 @@
 constexpr double kBatchCostMs = 1.5;
 /// What a way to another failure domain and back costs, in milliseconds of the caller's time and
 /// of the link; a turn carries its whole prompt, a call of a service little.
-constexpr double kCrossDomainTurnMs = 12;
-constexpr double kCrossDomainCallMs = 6;
+constexpr double kCrossDomainTurnMs = 40;
+constexpr double kCrossDomainCallMs = 10;
+/// Time from the end of a request at an upstream until the next one arrives there: two ways
+/// between instances and the leader's work.
+constexpr Duration kTurnaround = std::chrono::milliseconds(5);
+/// Part of the slots for which requests may be on the way ahead of time.
+constexpr double kMostAhead = 0.5;
 /// Pause after an upstream declined a request for lack of room.
 constexpr Duration kFullPause = std::chrono::milliseconds(60);
 /// An upstream that could not be reached is tried again at its next heartbeat, or after this time.
@@ -227,12 +232,23 @@
 auto Dispatcher::isAvailable(TimePoint now, const Upstream &upstream, const Work &work) const
     -> bool
 {
-    const auto slots = static_cast<std::size_t>(std::max(upstream.record.slots, 1));
-    return upstream.running.size() < slots && now >= upstream.fullUntil && isAlive(now, upstream)
+    return upstream.running.size() < places(upstream) && now >= upstream.fullUntil
+           && isAlive(now, upstream)
            && std::find(work.avoid.begin(), work.avoid.end(), upstream.record.id)
                   == work.avoid.end();
 }
 
+/// A slot would stand empty between the end of a request and the arrival of the next; short
+/// requests have some more on the way, which wait in the upstream's own queue.
+auto Dispatcher::places(const Upstream &upstream) const -> std::size_t
+{
+    const auto slots = static_cast<double>(std::max(upstream.record.slots, 1));
+    const auto service = m_services.find(upstream.record.service);
+    const auto work = service == m_services.end() ? 1.0 : service->second.meanSeconds;
+    const auto ahead = slots * toSeconds(kTurnaround) / std::max(work, toSeconds(kTurnaround));
+    return static_cast<std::size_t>(std::lround(slots + std::min(ahead, slots * kMostAhead)));
+}
+
 auto Dispatcher::isAlive(TimePoint now, const Upstream &upstream) -> bool
 {
     const auto heard = !upstream.lostAt || upstream.lastHeartbeat > *upstream.lostAt
--- a/libs/fleet/src/program_forecast.cpp
+++ b/libs/fleet/src/program_forecast.cpp
@@ -8,7 +8,7 @@
 
 /// Length that is assumed until programs have ended: some turns with a few calls each.
 constexpr double kFirstLength = 12;
-/// Weight of the newest program in the learned length.
+/// Least weight of the newest program in the learned length.
 constexpr double kSmoothing = 0.05;
 /// Programs that go on beyond the learned length are expected to need this part of it again.
 constexpr double kLeastRemaining = 0.25;
@@ -42,7 +42,7 @@
 auto ProgramForecast::length(int rank) const -> double
 {
     const auto known = m_lengths.find(rank);
-    return known == m_lengths.end() ? kFirstLength : known->second;
+    return known == m_lengths.end() ? kFirstLength : known->second.mean;
 }
 
 auto ProgramForecast::remaining(TimePoint now, const CustomerId &customer) -> double
@@ -66,8 +66,9 @@
         const auto &program = item.second;
         if (now - program.lastAt < kSilence)
             return false;
-        auto &length = m_lengths.try_emplace(program.rank, kFirstLength).first->second;
-        length += kSmoothing * (program.sent - length);
+        auto &length = m_lengths.try_emplace(program.rank, Length{kFirstLength, 1}).first->second;
+        ++length.samples;
+        length.mean += std::max(kSmoothing, 1.0 / length.samples) * (program.sent - length.mean);
         return true;
     });
 }
--- a/libs/fleet/src/quota_table.cpp
+++ b/libs/fleet/src/quota_table.cpp
@@ -8,14 +8,19 @@
 namespace {
 
 /// Longest time for which a request of a program that has begun waits for room.
-constexpr Duration kLongestWait = std::chrono::milliseconds(500);
+constexpr Duration kLongestWait = std::chrono::milliseconds(800);
 /// Part of a new program's time for which its first request may wait; one that begins later could
 /// not finish in time.
 constexpr int kNewPatiencePercent = 20;
 /// Time in which a program is expected to send its requests, if it does not tell its own.
 constexpr Duration kUsualProgramTime = std::chrono::seconds(2);
+/// Time after the refusal of a program in which it may come again before others of worse rank;
+/// callers return within a second.
+constexpr Duration kYield = std::chrono::milliseconds(1000);
 /// Part of the time until a program should be finished in which it sends its requests.
 constexpr int kWorkingPercent = 70;
+/// Room that is kept beyond what programs are expected to send, as their lengths differ.
+constexpr double kSafety = 1.25;
 /// Points of a program's way at which its requests have to fit.
 constexpr int kSteps = 4;
 /// Part of a limit that a single program may be expected to need; a program that needs more is let
@@ -39,19 +44,29 @@
     while (!window.times.empty() && window.times.front() <= now - m_window)
         window.times.pop_front();
     const auto isBegun = request.isBegun || m_forecast.isKnown(request.customer, request.program);
+    QuotaDecision decision;
+    decision.inWindow = window.times.size();
+    decision.most = most;
     auto at = roomAt(now, window, most);
     auto patience = kLongestWait;
     if (!isBegun) {
-        at = std::max(at, programFitsAt(now, window, most, request));
+        decision.expected = m_forecast.remaining(now, request.customer);
+        at = std::max(
+            {at, programFitsAt(now, window, most, request), yieldsUntil(window, request.rank)});
         patience = request.finishIn.value_or(kUsualProgramTime) * kNewPatiencePercent / 100;
     }
-    if (at - now > patience)
-        return isBegun ? QuotaDecision{false, at - now}
-                       : refuse(now, window, at, most, request.rank);
+    decision.isAdmitted = at - now <= patience;
+    if (!decision.isAdmitted && !isBegun) {
+        window.refusedAt[request.rank] = now;
+        at = promise(window, at, most, request.rank);
+    }
+    decision.wait = at - now;
+    if (!decision.isAdmitted)
+        return decision;
     window.times.push_back(at);
     if (!request.program.empty())
         m_forecast.note(now, request.customer, request.program, request.rank);
-    return {true, at - now};
+    return decision;
 }
 
 auto QuotaTable::mostInWindow(const QuotaLimit &limit) const -> std::size_t
@@ -73,11 +88,11 @@
 auto QuotaTable::programFitsAt(TimePoint now, const Window &window, std::size_t most,
                                const QuotaRequest &request) -> TimePoint
 {
-    const auto length = std::min(m_forecast.length(request.rank),
-                                 kMostOfOneProgram * static_cast<double>(most));
-    const auto needed = m_forecast.remaining(now, request.customer) + length;
-    const auto span = std::min(
-        request.finishIn.value_or(kUsualProgramTime) * kWorkingPercent / 100, m_window);
+    const auto length =
+        std::min(m_forecast.length(request.rank), kMostOfOneProgram * static_cast<double>(most));
+    const auto needed = kSafety * (m_forecast.remaining(now, request.customer) + length);
+    const auto span =
+        std::min(request.finishIn.value_or(kUsualProgramTime) * kWorkingPercent / 100, m_window);
     const auto &times = window.times;
     auto fitsAt = now;
     for (int step = 0; step < kSteps; ++step) {
@@ -93,14 +108,24 @@
     return fitsAt;
 }
 
+auto QuotaTable::yieldsUntil(const Window &window, int rank) const -> TimePoint
+{
+    TimePoint until{};
+    for (const auto &[better, refusedAt] : window.refusedAt) {
+        if (better < rank)
+            until = std::max(until, refusedAt + kYield);
+    }
+    return until;
+}
+
 /// Tells refused programs to come one after the other, at the pace at which the limit takes them.
-auto QuotaTable::refuse(TimePoint now, Window &window, TimePoint fitsAt, std::size_t most,
-                        int rank) const -> QuotaDecision
+auto QuotaTable::promise(Window &window, TimePoint fitsAt, std::size_t most, int rank) const
+    -> TimePoint
 {
     const auto pace = m_forecast.length(rank) / static_cast<double>(most);
     window.promised =
         std::max(fitsAt, window.promised) + std::chrono::duration_cast<Duration>(m_window * pace);
-    return {false, window.promised - now};
+    return window.promised;
 }
 
 } // namespace heathergate::fleet
