--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -97,6 +97,8 @@
     auto receive(TimePoint now, const InstanceId &from, PeerFrame frame) -> void;
     /// Says that the writes up to `number` are durable.
     auto synced(TimePoint now, std::uint64_t number) -> void;
+    /// The connection with an instance is gone. Callers are not sent to a gateway until it is back.
+    auto peerLost(TimePoint now, const InstanceId &peer) -> void;
     auto tick(TimePoint now) -> void;
     /// Learns of control instances from changed settings.
     auto learnControls(const std::vector<InstanceId> &controls) -> void;
@@ -150,6 +152,8 @@
     {
         fb::PresenceT presence;
         TimePoint seenAt{};
+        /// Its connection broke, and nothing came from it since.
+        bool isUnreachable = false;
     };
 
     /// A request between its admission and its end.
--- a/libs/fleet/src/control_members.cpp
+++ b/libs/fleet/src/control_members.cpp
@@ -11,7 +11,7 @@
 /// Silence after which a leader is no longer believed to be there.
 constexpr Duration kLeaderSilence = std::chrono::milliseconds(1000);
 /// Silence after which callers are no longer sent to a gateway.
-constexpr Duration kGatewaySilence = std::chrono::milliseconds(1300);
+constexpr Duration kGatewaySilence = std::chrono::milliseconds(900);
 /// Silence after which an instance and all that runs for it is forgotten.
 constexpr Duration kMemberSilence = std::chrono::milliseconds(2500);
 /// Absence after which a voter may be replaced by another instance.
@@ -39,6 +39,7 @@
         member.presence.ready != message.ready || member.presence.leaving != message.leaving;
     if (isNew && member.presence.boot != 0)
         m_dispatcher.dropGateway(now, from);
+    const auto returns = std::exchange(member.isUnreachable, false);
     if (isNew || turned)
         m_log.add(now, LogImportance::Important, "members", isNew ? "joined" : "changed",
                   {{"instance", from.value},
@@ -50,7 +51,7 @@
     member.seenAt = now;
     sendFeed(now, from);
     // Many instances turn at the same time; the directory learns of all of them together.
-    if (turned || isNew)
+    if (turned || isNew || returns)
         m_directoryPushAt = std::min(m_directoryPushAt, now + kDirectoryDelay);
 }
 
@@ -131,6 +132,18 @@
     m_output.messages.push_back({to, PeerFrame(Message(std::move(feed)))});
 }
 
+auto ControlNode::peerLost(TimePoint now, const InstanceId &peer) -> void
+{
+    const auto member = m_members.find(peer);
+    if (!isLeader(now) || member == m_members.end()
+        || !isRole(member->second.presence, Role::Gateway)
+        || std::exchange(member->second.isUnreachable, true))
+        return;
+    m_log.add(now, LogImportance::Important, "members", "connection_lost",
+              {{"instance", peer.value}, {"silent_ms", now - member->second.seenAt}});
+    m_directoryPushAt = std::min(m_directoryPushAt, now + kDirectoryDelay);
+}
+
 auto ControlNode::introduceItself() -> void
 {
     for (const auto &gateway : m_knownGateways) {
@@ -195,7 +208,7 @@
     for (const auto &[id, member] : m_members) {
         const auto &presence = member.presence;
         if (!isRole(presence, Role::Gateway) || !presence.ready || presence.leaving
-            || now - member.seenAt > kGatewaySilence)
+            || member.isUnreachable || now - member.seenAt > kGatewaySilence)
             continue;
         fb::GatewayAddressT gateway;
         gateway.address = presence.address;
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -20,7 +20,7 @@
 constexpr Duration kStreamStartMargin = std::chrono::milliseconds(400);
 constexpr Duration kCallStartMargin = std::chrono::milliseconds(30);
 /// Longest time without a byte of a stream before its upstream counts as silent.
-constexpr Duration kStreamSilence = std::chrono::milliseconds(1100);
+constexpr Duration kStreamSilence = std::chrono::milliseconds(700);
 /// The same for an idempotent request, in multiples of its target latency, and at least.
 constexpr int kSilentLatencies = 6;
 constexpr Duration kLeastSilence = std::chrono::milliseconds(500);
--- a/libs/fleet/src/leader_link.cpp
+++ b/libs/fleet/src/leader_link.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Duration kPresenceInterval = std::chrono::milliseconds(400);
+constexpr Duration kPresenceInterval = std::chrono::milliseconds(300);
 /// Silence after which the leader counts as lost.
 constexpr Duration kLeaderSilence = std::chrono::milliseconds(1000);
 /// Time that a control instance may take to answer.
--- a/libs/fleet/test/control_node_test.cpp
+++ b/libs/fleet/test/control_node_test.cpp
@@ -559,6 +559,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAGatewayIsLost)
+
+namespace {
+
+auto gatewayPresence(std::uint64_t boot) -> PeerFrame
+{
+    fb::PresenceT presence;
+    presence.boot = boot;
+    presence.role = static_cast<std::uint8_t>(Role::Gateway);
+    presence.address = "10.1.0.1:8000";
+    presence.ready = true;
+    return PeerFrame(Message(std::move(presence)));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(sendsNoCallerThereFromTheLossOfItsConnectionUntilItIsBack)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    auto &node = fleet.node(leader);
+    node.receive(fleet.now(), InstanceId("10.1.0.1"), gatewayPresence(1));
+    BOOST_TEST(node.directory(fleet.now()).size() == 1U);
+    node.peerLost(fleet.now(), InstanceId("10.1.0.1"));
+    BOOST_TEST(node.directory(fleet.now()).empty());
+    node.receive(fleet.now(), InstanceId("10.1.0.1"), gatewayPresence(1));
+    BOOST_TEST(node.directory(fleet.now()).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(sendsNoCallerThereOnceItIsSilentForASecond)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.node(leader).receive(fleet.now(), InstanceId("10.1.0.1"), gatewayPresence(1));
+    fleet.run(500ms);
+    BOOST_TEST(fleet.node(leader).directory(fleet.now()).size() == 1U);
+    fleet.run(500ms);
+    BOOST_TEST(fleet.node(leader).directory(fleet.now()).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenACustomerHasALimit)
 
 BOOST_AUTO_TEST_CASE(countsWhatAFormerLeaderLetThrough)
--- a/libs/node/include/heathergate/node/control_program.h
+++ b/libs/node/include/heathergate/node/control_program.h
@@ -50,7 +50,7 @@
                                     "frame_unreadable",
                                     {{"from", from.value}, {"detail", frame.error().detail}});
         };
-        hooks.onPeerLost = [](const InstanceId &) {};
+        hooks.onPeerLost = [this](const InstanceId &peer) { m_node->peerLost(now(), peer); };
         hooks.onStop = [this] {
             m_node->leave(now());
             m_stopAt = now() + kHandOver;
