--- /dev/null
+++ b/libs/fleet/test/control_admission_test.cpp
@@ -0,0 +1,98 @@
+#include "control_fleet.h"
+
+using namespace heathergate;
+using namespace heathergate::fleet;
+using namespace heathergate::fleet::test;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(ControlNodeTest)
+
+BOOST_AUTO_TEST_SUITE(WhenACustomerHasALimit)
+
+BOOST_AUTO_TEST_CASE(countsWhatAFormerLeaderLetThrough)
+{
+    Fleet fleet;
+    auto leader = fleet.waitForLeader();
+    Configuration configuration;
+    configuration.version = 2;
+    configuration.customers.push_back({CustomerId("c"), {"key"}, 0, 10, 10});
+    fleet.node(leader).putConfiguration(fleet.now(), fleet.nextToken(), configuration, "two");
+    fleet.heartbeat(leader, upstream("u", 1, 1));
+    fleet.run(50ms);
+    RequestId last = 0;
+    // Requests that end at once, until the limit refuses one.
+    const auto askUntilRefused = [&] {
+        int granted = 0;
+        while (true) {
+            fb::AdmissionT admission;
+            admission.request = ++last;
+            admission.customer = "c";
+            admission.service = "tools";
+            admission.budget = admission.finishIn = -1;
+            admission.timeLeft = admission.patience = 1'000'000;
+            fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(admission)));
+            fleet.run(10ms);
+            const auto answers = fleet.sentTo("g");
+            if (answers.empty() || std::holds_alternative<fb::RefusalT>(answers.front()))
+                return granted;
+            ++granted;
+            fb::CompletionT completion;
+            completion.request = last;
+            completion.final = true;
+            fleet.node(leader).receive(fleet.now(), InstanceId("g"),
+                                       PeerFrame(Message(completion)));
+        }
+    };
+    // Ten a second for five seconds, and ten more.
+    BOOST_TEST(askUntilRefused() == 60);
+    fleet.run(200ms);
+    fleet.kill(leader);
+    leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 1, 2));
+    fleet.run(50ms);
+    BOOST_TEST(askUntilRefused() <= 1);
+    fleet.run(5s);
+    fleet.heartbeat(leader, upstream("u", 1, 3));
+    BOOST_TEST(askUntilRefused() >= 50);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAProgramSpendsItsBudget)
+
+BOOST_AUTO_TEST_CASE(refusesTheNextTurnAlsoAfterAllInstancesWereKilled)
+{
+    Fleet fleet;
+    auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 1, 1));
+    fleet.run(50ms);
+    const auto ask = [&](RequestId request) {
+        fb::AdmissionT admission;
+        admission.request = request;
+        admission.service = "tools";
+        admission.program = "c/p";
+        admission.budget = 1000;
+        admission.mostTokens = 600;
+        admission.timeLeft = admission.patience = 1'000'000;
+        admission.finishIn = -1;
+        fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(admission)));
+        fleet.run(60ms);
+        return fleet.sentTo("g");
+    };
+    BOOST_TEST(std::holds_alternative<fb::GrantT>(ask(1).front()));
+    for (const auto *name : {"10.0.0.1", "10.0.0.2", "10.0.0.3"})
+        fleet.kill(name);
+    for (const auto *name : {"10.0.0.1", "10.0.0.2", "10.0.0.3"})
+        fleet.restart(name);
+    leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 1, 2));
+    fleet.run(50ms);
+    const auto answers = ask(2);
+    BOOST_TEST_REQUIRE(std::holds_alternative<fb::RefusalT>(answers.front()));
+    BOOST_TEST(std::get<fb::RefusalT>(answers.front()).code
+               == static_cast<int>(Code::BudgetExhausted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/fleet/test/control_calls_test.cpp
@@ -0,0 +1,94 @@
+#include "control_fleet.h"
+
+using namespace heathergate;
+using namespace heathergate::fleet;
+using namespace heathergate::fleet::test;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(ControlNodeTest)
+
+BOOST_AUTO_TEST_SUITE(WhenUpstreamsReport)
+
+BOOST_AUTO_TEST_CASE(registersAndRemembersThemOverAChangeOfLeader)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    const auto token = fleet.heartbeat(leader, upstream("u", 1, 1));
+    fleet.run(100ms);
+    BOOST_TEST((fleet.answer(token)->status == CallStatus::Done));
+    fleet.kill(leader);
+    const auto next = fleet.waitForLeader();
+    BOOST_TEST(fleet.node(next).state().upstreams().contains(UpstreamId("u")));
+}
+
+BOOST_AUTO_TEST_CASE(ignoresALateHeartbeatAfterTheUpstreamLeft)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 1, 1));
+    fleet.run(50ms);
+    fleet.node(leader).upstreamLeft(fleet.now(), fleet.nextToken(), UpstreamId("u"));
+    fleet.run(50ms);
+    fleet.heartbeat(leader, upstream("u", 1, 2));
+    fleet.run(50ms);
+    const auto &record = fleet.node(leader).state().upstreams().at(UpstreamId("u"));
+    BOOST_TEST((record.phase == UpstreamPhase::Gone));
+}
+
+BOOST_AUTO_TEST_CASE(letsANewIncarnationUnderTheSameNameIn)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 1, 9));
+    fleet.run(50ms);
+    fleet.node(leader).upstreamLeft(fleet.now(), fleet.nextToken(), UpstreamId("u"));
+    fleet.run(50ms);
+    fleet.heartbeat(leader, upstream("u", 2, 1));
+    fleet.run(50ms);
+    const auto &record = fleet.node(leader).state().upstreams().at(UpstreamId("u"));
+    BOOST_TEST((record.phase == UpstreamPhase::Ready));
+}
+
+BOOST_AUTO_TEST_CASE(givesAnAddressToItsLatestOwnerOnly)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("old", 1, 1));
+    fleet.run(50ms);
+    fleet.heartbeat(leader, upstream("new", 5, 1));
+    fleet.run(50ms);
+    // A heartbeat that a partition held back arrives after its sender has ended.
+    fleet.heartbeat(leader, upstream("old", 1, 2));
+    fleet.run(50ms);
+    const auto &records = fleet.node(leader).state().upstreams();
+    BOOST_TEST((records.at(UpstreamId("old")).phase == UpstreamPhase::Gone));
+    BOOST_TEST((records.at(UpstreamId("new")).phase == UpstreamPhase::Ready));
+}
+
+BOOST_AUTO_TEST_CASE(placesNothingAtADrainingUpstreamOnceItIsAcknowledged)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 1, 1));
+    fleet.run(50ms);
+    auto draining = upstream("u", 1, 2);
+    draining.phase = UpstreamPhase::Draining;
+    const auto token = fleet.heartbeat(leader, draining);
+    while (!fleet.answer(token))
+        fleet.run(5ms);
+    fb::AdmissionT admission;
+    admission.request = 1;
+    admission.service = "tools";
+    admission.timeLeft = admission.patience = 1'000'000;
+    admission.finishIn = -1;
+    admission.budget = -1;
+    fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(admission)));
+    fleet.run(50ms);
+    const auto messages = fleet.sentTo("g");
+    BOOST_TEST_REQUIRE(messages.size() == 1U);
+    BOOST_TEST(std::holds_alternative<fb::RefusalT>(messages.front()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/fleet/test/control_members_test.cpp
@@ -0,0 +1,126 @@
+#include "control_fleet.h"
+
+using namespace heathergate;
+using namespace heathergate::fleet;
+using namespace heathergate::fleet::test;
+using namespace std::chrono_literals;
+using consensus::ReplicaId;
+
+BOOST_AUTO_TEST_SUITE(ControlNodeTest)
+
+BOOST_AUTO_TEST_SUITE(WhenAnInstanceIsReplaced)
+
+BOOST_AUTO_TEST_CASE(takesTheWipedDiskInUnderItsNewName)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.run(1s);
+    const std::string other = leader == "10.0.0.1" ? "10.0.0.2" : "10.0.0.1";
+    fleet.restartWiped(other);
+    fleet.run(6s);
+    const auto &group = fleet.node(fleet.leader()).replica().configuration();
+    BOOST_TEST(group.voters.size() == 3U);
+    BOOST_TEST(!group.isVoter(ReplicaId(other)));
+    BOOST_TEST(group.isVoter(ReplicaId(other + "~1")));
+}
+
+BOOST_AUTO_TEST_CASE(putsAnotherAddressInThePlaceOfOneThatIsGone)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.run(1s);
+    const std::string lost = leader == "10.0.0.1" ? "10.0.0.2" : "10.0.0.1";
+    fleet.kill(lost);
+    fleet.start("10.0.0.7", "10.0.0.7~x", {});
+    fleet.run(8s);
+    const auto &group = fleet.node(fleet.leader()).replica().configuration();
+    BOOST_TEST(group.isVoter(ReplicaId("10.0.0.7~x")));
+    BOOST_TEST(!group.isVoter(ReplicaId(lost)));
+}
+
+BOOST_AUTO_TEST_CASE(survivesTheNextLossRightAfterTheRepair)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.put(leader, 5, "five");
+    fleet.run(1s);
+    const std::string lost = leader == "10.0.0.1" ? "10.0.0.2" : "10.0.0.1";
+    fleet.restartWiped(lost);
+    fleet.run(6s);
+    fleet.kill(fleet.leader());
+    BOOST_TEST(fleet.read(fleet.waitForLeader()).document == "five");
+}
+
+BOOST_AUTO_TEST_CASE(refusesToEmptyOneOfTheLastInstances)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.run(2s);
+    const auto token = fleet.nextToken();
+    fleet.node(leader).startRetiring(fleet.now(), token, "node-10.0.0.2");
+    fleet.run(100ms);
+    BOOST_TEST((fleet.answer(token)->status == CallStatus::Conflict));
+}
+
+BOOST_AUTO_TEST_CASE(emptiesAnInstanceThatAnotherCanReplace)
+{
+    Fleet fleet;
+    fleet.start("10.0.0.7", "10.0.0.7~x", {});
+    const auto leader = fleet.waitForLeader();
+    fleet.run(2s);
+    const std::string target = leader == "10.0.0.1" ? "10.0.0.2" : "10.0.0.1";
+    auto token = fleet.nextToken();
+    fleet.node(leader).startRetiring(fleet.now(), token, "node-" + target);
+    fleet.run(6s);
+    BOOST_TEST((fleet.answer(token)->status == CallStatus::Done));
+    token = fleet.nextToken();
+    fleet.node(fleet.leader()).readRetiring(fleet.now(), token, "node-" + target);
+    fleet.run(10ms);
+    BOOST_TEST((fleet.answer(token)->retire == RetireState::Succeeded));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAGatewayIsLost)
+
+namespace {
+
+auto gatewayPresence(std::uint64_t boot) -> PeerFrame
+{
+    fb::PresenceT presence;
+    presence.boot = boot;
+    presence.role = static_cast<std::uint8_t>(Role::Gateway);
+    presence.address = "10.1.0.1:8000";
+    presence.ready = true;
+    return PeerFrame(Message(std::move(presence)));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(sendsNoCallerThereFromTheLossOfItsConnectionUntilItIsBack)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    auto &node = fleet.node(leader);
+    node.receive(fleet.now(), InstanceId("10.1.0.1"), gatewayPresence(1));
+    BOOST_TEST(node.directory(fleet.now()).size() == 1U);
+    node.peerLost(fleet.now(), InstanceId("10.1.0.1"));
+    BOOST_TEST(node.directory(fleet.now()).empty());
+    node.receive(fleet.now(), InstanceId("10.1.0.1"), gatewayPresence(1));
+    BOOST_TEST(node.directory(fleet.now()).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(sendsNoCallerThereOnceItIsSilentForASecond)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.node(leader).receive(fleet.now(), InstanceId("10.1.0.1"), gatewayPresence(1));
+    fleet.run(500ms);
+    BOOST_TEST(fleet.node(leader).directory(fleet.now()).size() == 1U);
+    fleet.run(500ms);
+    BOOST_TEST(fleet.node(leader).directory(fleet.now()).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
