Send what runs once on a connection of its own to servers that drop kept ones

Change: a kept connection that breaks within 100 ms of a request without an answer marks its server for 30 s; requests that run once get a new connection there. Ruled out: new connections for all of them always (a third of the calls; new connections are priced and take a place for a millisecond). Test: HttpClientTest/sendsWhatRunsOnceAnewToAServerThatDropsKeptConnections.

--- a/libs/net/include/heathergate/net/http_client.h
+++ b/libs/net/include/heathergate/net/http_client.h
@@ -20,6 +20,9 @@
     std::string echoValue;
     /// A kept connection is used only if it was idle for at most this long.
     Duration maxIdle{};
+    /// The request must not be lost to a kept connection that the server has dropped without a
+    /// word; it gets a connection of its own while the server is known to do so.
+    bool runsOnce = false;
 };
 
 /// How an exchange with a server ended.
@@ -66,12 +69,15 @@
 
     auto release(const std::shared_ptr<Connection> &connection) -> void;
     auto drop(const std::shared_ptr<Connection> &connection) -> void;
+    [[nodiscard]] auto longestIdle(const OutgoingRequest &request) const -> Duration;
 
     EventLoop &m_loop;
     Handlers m_handlers;
     std::map<OutgoingId, std::shared_ptr<Connection>> m_active;
     /// Kept connections of each server, the latest used last.
     std::map<Endpoint, std::deque<std::shared_ptr<Connection>>> m_idle;
+    /// Servers that dropped kept connections, and until when that is remembered.
+    std::map<Endpoint, TimePoint> m_dropping;
 };
 
 } // namespace heathergate::net
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -17,6 +17,11 @@
 /// server's close.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(600);
 constexpr std::size_t kMaxIdlePerServer = 8;
+/// A kept connection that breaks within this time of a request, without an answer, was dropped
+/// before it.
+constexpr Duration kDroppedWithin = std::chrono::milliseconds(100);
+/// Time for which a server that dropped kept connections is remembered.
+constexpr Duration kDroppingMemory = std::chrono::seconds(30);
 
 /// Returns the idle time that a server allows, as its `Keep-Alive` header states it.
 auto allowedIdle(const HttpHead &head) -> Duration
@@ -83,6 +88,8 @@
         m_parser.reset();
         m_keep = false;
         m_skipping = false;
+        m_answered = false;
+        m_startedAt = m_client.m_loop.now();
         m_stream->beginMessage();
         m_stream->write(m_request.bytes);
         m_request.bytes.clear();
@@ -101,7 +108,7 @@
     }
     [[nodiscard]] auto isUsable(TimePoint now, Duration maxIdle) const -> bool
     {
-        return m_stream && m_stream->isOpen() && now - m_idleSince <= maxIdle;
+        return m_stream && m_stream->isOpen() && now - m_idleSince < maxIdle;
     }
 
     /// Keeps the connection until the server's keep-alive time ends.
@@ -147,6 +154,7 @@
 
     auto headRead(const HttpHead &head) -> void
     {
+        m_answered = true;
         constexpr int kFirstFinalStatus = 200;
         const auto *echo = head.headers.find(m_request.echoName);
         m_skipping =
@@ -172,6 +180,10 @@
         const auto self = shared_from_this();
         if (m_id == 0)
             return m_client.drop(self);
+        const auto now = m_client.m_loop.now();
+        const auto isKept = m_idleSince != TimePoint{};
+        if (isKept && !m_answered && now - m_startedAt < kDroppedWithin)
+            m_client.m_dropping[m_server] = now + kDroppingMemory;
         const auto complete = clean && m_parser.finish() && !m_skipping;
         m_keep = false;
         end(complete);
@@ -199,6 +211,9 @@
     OutgoingId m_id = 0;
     OutgoingRequest m_request;
     bool m_keep = false;
+    /// Some head has come since the request began.
+    bool m_answered = false;
+    TimePoint m_startedAt{};
     /// The answer that is being read belongs to another request.
     bool m_skipping = false;
     Duration m_allowedIdle{};
@@ -220,7 +235,7 @@
     auto &idle = m_idle[request.to];
     while (!connection && !idle.empty()) {
         auto last = idle.back();
-        if (!last->isUsable(m_loop.now(), request.maxIdle))
+        if (!last->isUsable(m_loop.now(), longestIdle(request)))
             break; // The others were idle for longer.
         idle.pop_back();
         connection = std::move(last);
@@ -236,6 +251,13 @@
     connection->start(id, std::move(request));
 }
 
+auto HttpClient::longestIdle(const OutgoingRequest &request) const -> Duration
+{
+    const auto dropping = m_dropping.find(request.to);
+    const auto drops = dropping != m_dropping.end() && m_loop.now() < dropping->second;
+    return request.runsOnce && drops ? Duration::zero() : request.maxIdle;
+}
+
 auto HttpClient::cancel(OutgoingId id) -> bool
 {
     const auto found = m_active.find(id);
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -323,6 +323,26 @@
     BOOST_TEST(ends[0].complete);
 }
 
+BOOST_AUTO_TEST_CASE(sendsWhatRunsOnceAnewToAServerThatDropsKeptConnections)
+{
+    ask("1");
+    answer(okFor("1", "a"));
+    ask("2");
+    accepted.back()->abort(); // The server had dropped it before the request came.
+    run();
+    ask("3");
+    answer(okFor("3", "c"));
+    BOOST_TEST(accepted.size() == 2U);
+    OutgoingRequest request;
+    request.to = address;
+    request.bytes = "GET / HTTP/1.1\r\n\r\n";
+    request.maxIdle = 10s;
+    request.runsOnce = true;
+    client.send(++lastId, std::move(request));
+    run();
+    BOOST_TEST(accepted.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(knowsThatNothingWasSentWhereNobodyListens)
 {
     listener->close();
