--- a/soak/troubles.cpp
+++ b/soak/troubles.cpp
@@ -114,7 +114,7 @@
     const auto now = m_loop.now();
     std::erase_if(m_lostControls, [now](const auto &item) { return item.second < now; });
     const auto names = m_targets.processes.instances(InstanceRole::Control);
-    const auto name = names[m_random.below(names.size())];
+    const auto &name = names[m_random.below(names.size())];
     if (static_cast<int>(m_lostControls.size()) >= m_faultTolerance
         || m_lostControls.contains(name))
         return std::nullopt;
