--- a/libs/fleet/include/heathergate/fleet/program_forecast.h
+++ b/libs/fleet/include/heathergate/fleet/program_forecast.h
@@ -17,9 +17,7 @@
     /// Notes a request of a program; the first one begins it.
     auto note(TimePoint now, const CustomerId &customer, const std::string &program, int rank)
         -> void;
-    /// Forgets a program that was not let through, so that its length is not learned.
-    auto drop(const CustomerId &customer, const std::string &program) -> void;
-
+    /// Returns whether a program has sent a request and does not count as ended.
     [[nodiscard]] auto isKnown(const CustomerId &customer, const std::string &program) const
         -> bool;
     /// Returns how many requests a program of this rank sends in all.
--- a/libs/fleet/src/program_forecast.cpp
+++ b/libs/fleet/src/program_forecast.cpp
@@ -26,13 +26,6 @@
     entry.lastAt = now;
 }
 
-auto ProgramForecast::drop(const CustomerId &customer, const std::string &program) -> void
-{
-    const auto programs = m_programs.find(customer);
-    if (programs != m_programs.end())
-        programs->second.erase(program);
-}
-
 auto ProgramForecast::isKnown(const CustomerId &customer, const std::string &program) const -> bool
 {
     const auto programs = m_programs.find(customer);
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -128,7 +128,7 @@
                        const std::string &data, const std::string &expected) -> void;
     /// A stream that ended as complete lacks its last event.
     auto streamCutShort(const std::string &id, std::uint64_t events) -> void;
-    /// A connection ended without a complete answer after the upstream had begun.
+    /// A gateway that was asked to stop cut a request that an upstream had begun to run.
     auto cutAtGracefulStop(const std::string &id, const InstanceId &gateway) -> void;
 
     // Programs and customers.
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -1,9 +1,5 @@
 #include "run.h"
 
-#include <heathergate/platform/names.h>
-#include <heathergate/platform/sender_formats.h>
-#include <iostream>
-
 namespace heathergate::soak {
 
 namespace {
--- a/soak/upstream.cpp
+++ b/soak/upstream.cpp
@@ -3,7 +3,6 @@
 #include "network.h"
 
 #include <charconv>
-#include <ctime>
 #include <heathergate/platform/names.h>
 #include <heathergate/platform/sender_formats.h>
 
