--- a/libs/consensus/src/replica.cpp
+++ b/libs/consensus/src/replica.cpp
@@ -6,6 +6,8 @@
 
 /// A replica whose tick comes later than this part of the election timeout stood still meanwhile.
 constexpr int kLateDivisor = 4;
+/// Election timeouts after which the beliefs of a replica that stood still are too old.
+constexpr int kOldBeliefs = 2;
 
 } // namespace
 
@@ -53,8 +55,11 @@
 auto Replica::tick(TimePoint now) -> void
 {
     // What arrived while this replica stood still has not been read yet, so its silence says
-    // nothing of the others.
-    const auto stoodStill = now - nextDeadline() > m_settings.electionTimeout / kLateDivisor;
+    // nothing of the others. One that stood still for long stands for election anew: whatever it
+    // believed of others is too old.
+    const auto late = now - nextDeadline();
+    const auto stoodStill = late > m_settings.electionTimeout / kLateDivisor
+                            && late < m_settings.electionTimeout * kOldBeliefs;
     if (m_role == Role::Leader) {
         const auto quorumLost = now - newestQuorumRound(now) > m_settings.electionTimeout;
         if (quorumLost && !stoodStill && now - m_leaderSince > m_settings.electionTimeout) {
