Let the soak use withdrawn keys, faulty upstreams always, and a change at the end

Change: upstreams lose, break off, fail and decline about one request in a hundred while troubles are played; a tenth of the programs uses a withdrawn key; a key in force that is refused breaks a promise; a key and a route change when the troubles end.

--- a/soak/observations.cpp
+++ b/soak/observations.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr int kUnknownKey = 401;
+
 /// Statuses by which the fleet says that a request has not run and never will.
 auto saysNotRun(int status) -> bool
 {
@@ -93,6 +95,19 @@
         broken("a refusal is true", id + " ran and was answered " + std::to_string(status));
 }
 
+/// A key that is in force everywhere must not be refused.
+auto Observations::checkDenial(const Request &request) -> void
+{
+    const auto &issued = request.issued;
+    const auto from = issued.sentAt - Disturbances::kSettling;
+    const auto given = m_given.find(issued.key);
+    const auto isInForce = given != m_given.end() && issued.sentAt > given->second + kApplyBound;
+    if (isInForce && !m_withdrawn.contains(issued.key)
+        && m_disturbances.isCalm(issued.gateway.value, from, request.answer->at)
+        && m_disturbances.isCalm(kControlSubject, from, request.answer->at))
+        broken("an accepted key works", issued.id + " at " + issued.gateway.value);
+}
+
 auto Observations::produced(const std::string &id, const std::string &signature,
                             const std::string &body) -> void
 {
@@ -107,6 +122,8 @@
     ++m_byStatus[answer.complete ? answer.status : 0];
     request->second.answer = answer;
     checkRefusal(answer.id);
+    if (answer.status == kUnknownKey)
+        checkDenial(request->second);
     if (!answer.complete || !isSuccess(answer.status))
         return;
     const auto produced = m_produced.find(answer.id);
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -143,6 +143,11 @@
     {
         m_withdrawn[key] = at;
     }
+    /// A key that came with a configuration acknowledged at `at`.
+    auto keyGiven(const std::string &key, TimePoint at) -> void
+    {
+        m_given[key] = at;
+    }
     /// The fleet acknowledged that an upstream leaves.
     auto upstreamLeaves(const UpstreamId &upstream, TimePoint at) -> void
     {
@@ -202,6 +207,7 @@
     auto checkRun(const Request &request, const ObservedRun &run, std::size_t runs) -> void;
     auto checkTimely(const Request &request, const ObservedRun &run, std::size_t runs) -> void;
     auto checkRefusal(const std::string &id) -> void;
+    auto checkDenial(const Request &request) -> void;
 
     const Disturbances &m_disturbances;
     std::unordered_map<std::string, Request> m_requests;
@@ -212,6 +218,7 @@
     std::map<std::string, std::deque<TimePoint>> m_runTimes;
     std::map<std::string, std::int64_t> m_tokens;
     std::map<std::string, TimePoint> m_withdrawn;
+    std::map<std::string, TimePoint> m_given;
     std::map<UpstreamId, TimePoint> m_leaving;
     std::map<std::uint64_t, std::string> m_sent;
     std::map<std::uint64_t, TimePoint> m_acknowledged;
--- a/soak/operator.cpp
+++ b/soak/operator.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kResendPause = std::chrono::milliseconds(200);
 constexpr int kMaxRedirects = 2;
 constexpr std::size_t kMaxRoutes = 12;
+/// Share of programs that use a key that was withdrawn.
+constexpr double kWithdrawnShare = 0.1;
 /// Versions rise in uneven steps.
 constexpr std::uint64_t kMostStep = 5;
 
@@ -47,6 +49,8 @@
 
 auto Operator::account() -> CustomerAccount
 {
+    if (!m_withdrawn.empty() && m_random.unit() < kWithdrawnShare)
+        return m_withdrawn[m_random.below(m_withdrawn.size())];
     auto chosen = m_keys.begin();
     std::advance(chosen, static_cast<std::ptrdiff_t>(m_random.below(m_keys.size())));
     return {chosen->first, chosen->second};
@@ -206,7 +210,13 @@
     m_observations.configurationAcknowledged(order.version, m_loop.now());
     if (order.gives.empty())
         return;
-    m_keys[order.customer] = order.gives;
+    m_withdrawn.push_back({order.customer, order.withdraws});
+    auto &newest = m_keyVersions[order.customer];
+    if (order.version > newest) {
+        newest = order.version;
+        m_keys[order.customer] = order.gives;
+    }
+    m_observations.keyGiven(order.gives, m_loop.now());
     m_observations.keyWithdrawn(order.withdraws, m_loop.now());
 }
 
--- a/soak/operator.h
+++ b/soak/operator.h
@@ -28,7 +28,8 @@
         m_lostAnswers = share;
     }
 
-    /// Returns an account of a random customer; its key is the newest acknowledged one.
+    /// Returns an account of a random customer. Its key is the newest acknowledged one, or now and
+    /// then one that was withdrawn.
     [[nodiscard]] auto account() -> CustomerAccount;
     [[nodiscard]] auto lastReadVersion() const -> std::uint64_t
     {
@@ -78,6 +79,9 @@
     net::HttpClient m_client;
     fleet::Configuration m_configuration;
     std::map<std::string, std::string> m_keys;
+    /// The version that gave each customer its present key.
+    std::map<std::string, std::uint64_t> m_keyVersions;
+    std::vector<CustomerAccount> m_withdrawn;
     std::map<std::uint64_t, Order> m_orders;
     std::map<net::OutgoingId, Call> m_calls;
     net::OutgoingId m_lastCall = 0;
--- a/soak/test/observations_test.cpp
+++ b/soak/test/observations_test.cpp
@@ -150,6 +150,22 @@
     BOOST_TEST(broken() == Promises{"withdrawn key"});
 }
 
+BOOST_AUTO_TEST_CASE(findsAnAcceptedKeyThatIsRefused)
+{
+    observations.keyGiven("key", now);
+    now += 1s;
+    issue("soon");
+    answer("soon", 401);
+    now += 2s;
+    issue("r");
+    answer("r", 401);
+    observations.keyWithdrawn("key", now);
+    now += 3s;
+    issue("withdrawn");
+    answer("withdrawn", 401);
+    BOOST_TEST(broken() == Promises{"an accepted key works"});
+}
+
 BOOST_AUTO_TEST_CASE(findsWorkForAnUpstreamThatLeaves)
 {
     observations.upstreamLeaves(UpstreamId("u"), now);
--- a/soak/troubles.cpp
+++ b/soak/troubles.cpp
@@ -29,6 +29,8 @@
 {
     m_end = end;
     m_calmUntil = m_loop.now() + kFirstTrouble;
+    for (const auto &upstream : m_targets.upstreams)
+        upstream->setUsualFaults(kUsualFaults);
     after(kFirstTrouble, [this] { next(); });
 }
 
@@ -325,7 +327,7 @@
     }
     note(kUpstreamSubject, harmed);
     upstream.setFaults(faults);
-    after(harmed, [&upstream] { upstream.setFaults({}); });
+    after(harmed, [&upstream] { upstream.clearFaults(); });
 }
 
 auto Troubles::crashUpstream() -> void
@@ -388,10 +390,13 @@
     }
     for (const auto &upstream : m_targets.upstreams) {
         upstream->proxy().heal();
-        upstream->setFaults({});
+        upstream->setUsualFaults({});
         upstream->restart(false);
     }
     m_targets.configurations.setLostAnswers(0);
+    // What changes now has to be in force before the run ends.
+    m_targets.configurations.changeKey();
+    m_targets.configurations.changeRoutes();
     restartEnded();
 }
 
--- a/soak/upstream.cpp
+++ b/soak/upstream.cpp
@@ -95,7 +95,7 @@
     m_sequence = 0;
     m_state = State::Ready;
     m_leaveSeen = false;
-    m_faults = {};
+    m_faults = m_usualFaults;
     m_observations.upstreamGone(UpstreamId(m_id));
     listen();
     beat();
--- a/soak/upstream.h
+++ b/soak/upstream.h
@@ -19,6 +19,9 @@
     double slowness = 1;
 };
 
+/// Faults of every upstream while troubles are played.
+constexpr UpstreamFaults kUsualFaults{0.01, 0.01, 0.005, 0.01, false, 1};
+
 /// A stand-in for a model engine or a plain service. It registers with the fleet by heartbeats,
 /// runs requests, and reports all that it sees.
 class Upstream
@@ -52,6 +55,16 @@
     {
         m_faults = faults;
     }
+    /// Sets what holds while no other faults are set, also after a new start.
+    auto setUsualFaults(const UpstreamFaults &faults) -> void
+    {
+        m_usualFaults = faults;
+        m_faults = faults;
+    }
+    auto clearFaults() -> void
+    {
+        m_faults = m_usualFaults;
+    }
     [[nodiscard]] auto proxy() -> FaultProxy &
     {
         return m_proxy;
@@ -101,6 +114,7 @@
     std::unique_ptr<net::HttpServer> m_server;
     net::HttpClient m_client;
     std::map<net::ExchangeId, Running> m_running;
+    UpstreamFaults m_usualFaults;
     UpstreamFaults m_faults;
     State m_state = State::Ready;
     std::string m_id;
