--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -102,6 +102,10 @@
 /// Plays all runs. Returns how many broke a promise.
 auto play(const Command &command) -> int
 {
+    if (command.seeds.empty()) {
+        std::cout << "no seeds are listed" << std::endl;
+        return 0;
+    }
     int broken = 0;
     for (const auto seed : command.seeds) {
         auto settings = command.settings;
