Test the limit beside requests that wait for different times

Cause: reading the change again: a request without a wait may be let through behind one that waits, so the noted times are not sorted. Ruled out: a fault. Each time lies a window or more behind the one 'most' places before it, which bounds every window whatever the order; inserting by time instead would break just that. A property plays it; the comment says why.

--- a/libs/fleet/include/heathergate/fleet/quota_table.h
+++ b/libs/fleet/include/heathergate/fleet/quota_table.h
@@ -67,7 +67,9 @@
 private:
     struct Window
     {
-        /// When the counted requests go on, in order; some lie in the future.
+        /// When the counted requests go on, in the order in which they were let through; some lie
+        /// in the future. Each goes on a window or more after the one `most` places before it, so
+        /// no window holds more than `most`, also where waits differ.
         std::deque<TimePoint> times;
         /// Time for which the last refused program was told to come again.
         TimePoint promised{};
--- a/libs/fleet/test/quota_table_test.cpp
+++ b/libs/fleet/test/quota_table_test.cpp
@@ -293,6 +293,24 @@
     BOOST_TEST(ask("patient", 1).isAdmitted);
 }
 
+RC_BOOST_PROP(neverPassTheLimitInAnyWindowBesideOthersThatWait, ())
+{
+    const auto rate = *rc::gen::inRange(1, 30);
+    const auto pause = Duration(*rc::gen::inRange(5'000, 80'000));
+    Random random(*rc::gen::arbitrary<std::uint64_t>());
+    Quotas quotas;
+    std::vector<TimePoint> admitted;
+    for (const auto end = quotas.now + 20s; quotas.now < end; quotas.now += pause) {
+        const auto program = "p" + std::to_string(random.below(40));
+        auto item = request({static_cast<double>(rate), static_cast<double>(rate)}, program,
+                            random.below(3) > 0);
+        const auto decision = quotas.table.take(quotas.now, item);
+        if (decision.isAdmitted)
+            admitted.push_back(quotas.now + decision.wait);
+    }
+    RC_ASSERT(mostInAWindow(admitted) <= static_cast<std::size_t>(rate * 6));
+}
+
 BOOST_AUTO_TEST_CASE(finishesMoreProgramsBeyondTheLimitThanAPlainBucket)
 {
     constexpr QuotaLimit kLimit{20, 20};
