Never report records as durable after a failed sync

Cause: WriteAheadLog::commit cleared its batch before the sync. After a sync that failed with ENOSPC the writer retried, found an empty batch and acknowledged records that were on no disk; likewise for the folder. Also: a restarted process relied on records that its killed predecessor had written and not synced; a later loss of power took them back. Change: any failed sync is permanent and every further commit fails, so that the instance leaves; the segment is synced when it was read. FakeFiles can fail syncs, folder syncs and renames.

--- a/libs/log/include/heathergate/log/file_layer.h
+++ b/libs/log/include/heathergate/log/file_layer.h
@@ -42,4 +42,14 @@
         } -> std::same_as<Result<void>>;
 };
 
+/// A file layer that can read a part of a file.
+template <typename T>
+concept RangeReadable = FileLayer<T> && requires(T &files, const std::string &name,
+                                                 std::uint64_t offset, std::uint64_t size)
+{
+    {
+        files.readRange(name, offset, size)
+        } -> std::same_as<Result<std::string>>;
+};
+
 } // namespace heathergate::log
--- a/libs/log/include/heathergate/log/internal/record.h
+++ b/libs/log/include/heathergate/log/internal/record.h
@@ -28,6 +28,10 @@
 /// Decodes the record at the start of `bytes`; nothing if it is incomplete or damaged.
 [[nodiscard]] auto parseRecord(std::string_view bytes) -> std::optional<RecordView>;
 
+/// Returns the offset of the first complete record with this sequence number; `npos` if there is
+/// none.
+[[nodiscard]] auto findRecord(std::string_view bytes, std::uint64_t sequence) -> std::size_t;
+
 /// Returns whether a complete record with a sequence number of at least `minimumSequence` starts
 /// anywhere in `bytes`.
 [[nodiscard]] auto containsRecord(std::string_view bytes, std::uint64_t minimumSequence) -> bool;
--- a/libs/log/include/heathergate/log/posix_files.h
+++ b/libs/log/include/heathergate/log/posix_files.h
@@ -24,6 +24,9 @@
     [[nodiscard]] auto list() -> Result<std::vector<std::string>>;
     /// Returns the complete content of a file.
     [[nodiscard]] auto read(const std::string &name) -> Result<std::string>;
+    /// Returns `size` bytes of a file from `offset` on; fewer if the file ends before.
+    [[nodiscard]] auto readRange(const std::string &name, std::uint64_t offset, std::uint64_t size)
+        -> Result<std::string>;
     /// Appends to a file, creating it if needed. After a failed write the file is truncated to its
     /// previous size. `Code::DiskFull` means that a retry may succeed.
     [[nodiscard]] auto append(const std::string &name, std::string_view bytes) -> Result<void>;
@@ -51,6 +54,6 @@
     std::map<std::string, int> m_openFiles;
 };
 
-static_assert(FileLayer<PosixFiles>);
+static_assert(RangeReadable<PosixFiles>);
 
 } // namespace heathergate::log
--- a/libs/log/include/heathergate/log/write_ahead_log.h
+++ b/libs/log/include/heathergate/log/write_ahead_log.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <utility>
 
 namespace heathergate::log {
@@ -40,9 +41,12 @@
 
     /// Writes and syncs the batch. If the write fails with `Code::DiskFull`, the batch is retained
     /// and no part of it is stored, so that the call can be retried. All other errors, including
-    /// any error of a sync, are permanent: a further call does not make the records durable.
+    /// any error of a sync, are permanent: every further call fails, because the state of the
+    /// written records on the disk is unknown.
     [[nodiscard]] auto commit() -> Result<void>
     {
+        if (m_failure)
+            return tl::unexpected(*m_failure);
         if (m_batch.empty())
             return {};
         if (auto written = m_files->append(m_segment, m_batch); !written)
@@ -50,10 +54,13 @@
         m_segmentBytes += m_batch.size();
         m_batch.clear();
         if (auto synced = m_files->sync(m_segment); !synced)
-            return synced;
-        if (!std::exchange(m_folderSyncPending, false))
-            return {};
-        return m_files->syncFolder();
+            return failPermanently(synced.error());
+        if (m_folderSyncPending) {
+            if (auto synced = m_files->syncFolder(); !synced)
+                return failPermanently(synced.error());
+            m_folderSyncPending = false;
+        }
+        return {};
     }
 
     /// Replaces all stored records with `payloads`. The replacement is atomic with respect to
@@ -102,6 +109,12 @@
         return "log-" + std::string(20 - digits.size(), '0') + digits;
     }
 
+    [[nodiscard]] auto failPermanently(const Error &error) -> tl::unexpected<Error>
+    {
+        m_failure = Error{Code::DiskFailed, error.detail};
+        return tl::unexpected(*m_failure);
+    }
+
     [[nodiscard]] auto writeNewFile(const std::string &name, std::string_view content)
         -> Result<void>
     {
@@ -165,7 +178,10 @@
             rest.remove_prefix(record->storedBytes);
         }
         m_segmentBytes = content->size() - rest.size();
-        return rest.empty() ? Result<void>{} : truncateTornTail(rest);
+        if (!rest.empty())
+            return truncateTornTail(rest);
+        // A killed process may have left records that were written and not synced.
+        return m_files->sync(m_segment);
     }
 
     [[nodiscard]] auto truncateTornTail(std::string_view rest) -> Result<void>
@@ -187,6 +203,8 @@
     std::uint64_t m_segmentBytes = 0;
     /// Whether the creation of the first segment is not durable yet.
     bool m_folderSyncPending = false;
+    /// Error of a failed sync.
+    std::optional<Error> m_failure;
 };
 
 } // namespace heathergate::log
--- a/libs/log/src/posix_files.cpp
+++ b/libs/log/src/posix_files.cpp
@@ -105,6 +105,29 @@
     return std::move(content).str();
 }
 
+auto PosixFiles::readRange(const std::string &name, std::uint64_t offset, std::uint64_t size)
+    -> Result<std::string>
+{
+    const auto file = descriptor(name);
+    if (!file)
+        return tl::unexpected(file.error());
+    std::string content(size, '\0');
+    std::size_t done = 0;
+    while (done < content.size()) {
+        const auto count = ::pread(*file, content.data() + done, content.size() - done,
+                                   static_cast<off_t>(offset + done));
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0)
+            return systemError("cannot read " + path(name));
+        if (count == 0)
+            break;
+        done += static_cast<std::size_t>(count);
+    }
+    content.resize(done);
+    return content;
+}
+
 auto PosixFiles::append(const std::string &name, std::string_view bytes) -> Result<void>
 {
     const auto file = descriptor(name);
--- a/libs/log/src/record.cpp
+++ b/libs/log/src/record.cpp
@@ -55,6 +55,18 @@
     return RecordView{sequence, payload, kRecordHeaderBytes + length};
 }
 
+auto findRecord(std::string_view bytes, std::uint64_t sequence) -> std::size_t
+{
+    for (std::size_t offset = 0; offset + kRecordHeaderBytes <= bytes.size(); ++offset) {
+        if (getNumber<std::uint32_t>(bytes, offset) != kMagic)
+            continue;
+        const auto record = parseRecord(bytes.substr(offset));
+        if (record && record->sequence == sequence)
+            return offset;
+    }
+    return std::string_view::npos;
+}
+
 auto containsRecord(std::string_view bytes, std::uint64_t minimumSequence) -> bool
 {
     for (std::size_t offset = 0; offset + kRecordHeaderBytes <= bytes.size(); ++offset) {
--- a/libs/log/test/write_ahead_log_test.cpp
+++ b/libs/log/test/write_ahead_log_test.cpp
@@ -159,5 +159,74 @@
     BOOST_TEST(storedPayloads(files).size() == 4U);
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenASyncFails)
+
+BOOST_AUTO_TEST_CASE(aRetryNeverReportsTheRecordsAsDurable)
+{
+    for (const auto code : {Code::DiskFull, Code::DiskFailed}) {
+        FakeFiles files;
+        writeThreeRecords(files);
+        auto log = Log::open(files, kIgnoreRecords);
+        log->append("four");
+        files.failNextSync(code);
+        const auto failed = log->commit();
+        BOOST_REQUIRE(!failed);
+        // The code tells the writer not to retry.
+        BOOST_TEST((failed.error().code == Code::DiskFailed));
+        BOOST_TEST(!log->commit());
+        files.crash();
+        BOOST_TEST(storedPayloads(files).size() == 3U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(theFirstSegmentIsNotReportedAsDurableWithoutItsName)
+{
+    for (const auto code : {Code::DiskFull, Code::DiskFailed}) {
+        FakeFiles files;
+        auto log = Log::open(files, kIgnoreRecords);
+        log->append("one");
+        files.failNextFolderSync(code);
+        BOOST_TEST((log->commit().error().code == Code::DiskFailed));
+        BOOST_TEST(!log->commit());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aSnapshotIsRewrittenFromTheStart)
+{
+    for (const auto code : {Code::DiskFull, Code::DiskFailed}) {
+        FakeFiles files;
+        files.failNextSync(code);
+        BOOST_TEST(!heathergate::log::writeSnapshot(files, "snapshot", "state"));
+        files.failNextRename(code);
+        BOOST_TEST(!heathergate::log::writeSnapshot(files, "snapshot", "state"));
+        files.failNextFolderSync(code);
+        BOOST_TEST(!heathergate::log::writeSnapshot(files, "snapshot", "state"));
+        BOOST_REQUIRE(heathergate::log::writeSnapshot(files, "snapshot", "state"));
+        files.crash();
+        BOOST_TEST(heathergate::log::readSnapshot(files, "snapshot")->value() == "state");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheProcessIsKilledBeforeASync)
+
+BOOST_AUTO_TEST_CASE(recordsThatWereReadAtTheStartAreDurable)
+{
+    FakeFiles files;
+    writeThreeRecords(files);
+    std::string unsynced;
+    heathergate::log::internal::appendRecord(unsynced, 4, "four");
+    BOOST_REQUIRE(files.append(currentSegment(files), unsynced));
+    Payloads found;
+    BOOST_REQUIRE(openCollecting(files, found));
+    BOOST_TEST(found.size() == 4U);
+    // The restarted process has relied on what it read; now the machine loses power.
+    files.crash();
+    BOOST_TEST(storedPayloads(files).size() == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/testing/include/heathergate/testing/fake_files.h
+++ b/libs/testing/include/heathergate/testing/fake_files.h
@@ -27,6 +27,15 @@
         return file->second.content;
     }
 
+    [[nodiscard]] auto readRange(const std::string &name, std::uint64_t offset, std::uint64_t size)
+        -> Result<std::string>
+    {
+        auto content = read(name);
+        if (!content || offset > content->size())
+            return content ? Result<std::string>(std::string()) : content;
+        return content->substr(offset, size);
+    }
+
     [[nodiscard]] auto append(const std::string &name, std::string_view bytes) -> Result<void>
     {
         if (m_freeBytes && bytes.size() > *m_freeBytes)
@@ -46,6 +55,8 @@
     [[nodiscard]] auto sync(const std::string &name) -> Result<void>
     {
         ++m_syncs;
+        if (auto failure = std::exchange(m_syncFailure, std::nullopt))
+            return fail(*failure, "the sync failed");
         m_files[name].synced = m_files[name].content;
         return {};
     }
@@ -58,6 +69,8 @@
 
     [[nodiscard]] auto rename(const std::string &from, const std::string &to) -> Result<void>
     {
+        if (auto failure = std::exchange(m_renameFailure, std::nullopt))
+            return fail(*failure, "the rename failed");
         m_files[to] = m_files[from];
         m_files.erase(from);
         return {};
@@ -65,6 +78,8 @@
 
     [[nodiscard]] auto syncFolder() -> Result<void>
     {
+        if (auto failure = std::exchange(m_folderSyncFailure, std::nullopt))
+            return fail(*failure, "the sync of the folder failed");
         m_durable.clear();
         for (const auto &[name, file] : m_files)
             m_durable[name] = file.synced;
@@ -93,6 +108,24 @@
         m_freeBytes = bytes;
     }
 
+    /// Lets the next sync of a file fail. What it covered is not durable.
+    auto failNextSync(Code code) -> void
+    {
+        m_syncFailure = code;
+    }
+
+    /// Lets the next sync of the folder fail.
+    auto failNextFolderSync(Code code) -> void
+    {
+        m_folderSyncFailure = code;
+    }
+
+    /// Lets the next renaming fail.
+    auto failNextRename(Code code) -> void
+    {
+        m_renameFailure = code;
+    }
+
     /// Returns the number of file syncs so far.
     [[nodiscard]] auto syncs() const -> int
     {
@@ -115,9 +148,12 @@
     std::map<std::string, File> m_files;
     std::map<std::string, std::string> m_durable;
     std::optional<std::size_t> m_freeBytes;
+    std::optional<Code> m_syncFailure;
+    std::optional<Code> m_folderSyncFailure;
+    std::optional<Code> m_renameFailure;
     int m_syncs = 0;
 };
 
-static_assert(log::FileLayer<FakeFiles>);
+static_assert(log::RangeReadable<FakeFiles>);
 
 } // namespace heathergate::testing
