Keep turns of programs in a replicated history store

Change: libs/history, replicas on the control instances that append turns to segment files, a client in the gateway that writes a turn to a quorum of disks before the response ends and reads the chain before the next turn is placed, and repair that copies what a replica lacks. A turn is reported as unknown only if so many complete replicas lack it that it cannot have been acknowledged. The leader removes a voter only when the others have copied its turns.

--- a/libs/core/include/heathergate/core/result.h
+++ b/libs/core/include/heathergate/core/result.h
@@ -42,6 +42,7 @@
     UnknownCustomer = 405,
     AlreadyExists = 406,
     UnknownUpstream = 407,
+    UnknownTurn = 408,
     // 5xx: availability
     NotLeader = 500,
     NoQuorum = 501,
@@ -51,6 +52,7 @@
     OutcomeUnknown = 505,
     Draining = 506,
     Timeout = 507,
+    HistoryUnavailable = 508,
     // 6xx: storage and peers
     DiskFailed = 600,
     DiskFull = 601,
--- a/libs/fleet/include/heathergate/fleet/configuration.h
+++ b/libs/fleet/include/heathergate/fleet/configuration.h
@@ -57,12 +57,17 @@
     bool isOpen = false;
     /// A stream may be resumed at another upstream after its last event.
     bool isResumable = false;
-    /// Time for which a program of this route may resume after its last request.
+    /// Requests carry only their new input; the fleet adds the earlier turns of their chain.
+    bool keepsHistory = false;
+    /// Time for which a program of this route may resume after its last request, and for which its
+    /// turns are retained.
     Duration retention{};
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE(Route, name, host, pathPrefix, kind, timeout, targetLatency,
-                                   targetGap, priority, targets, maxAttempts, isOpen, isResumable,
-                                   retention)
+    // Configurations that earlier versions stored lack the newest fields.
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(Route, name, host, pathPrefix, kind, timeout,
+                                                targetLatency, targetGap, priority, targets,
+                                                maxAttempts, isOpen, isResumable, keepsHistory,
+                                                retention)
 };
 
 /// Limits of the engines of a service.
--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -5,6 +5,7 @@
 #include <heathergate/fleet/leader_link.h>
 #include <heathergate/fleet/peer_frame.h>
 #include <heathergate/fleet/quota_table.h>
+#include <heathergate/history/replica_set.h>
 #include <heathergate/storage/storage_step.h>
 #include <heathergate/telemetry/telemetry.h>
 
@@ -77,6 +78,17 @@
     Duration coldRemaining{};
 };
 
+/// State of the history replica of an instance.
+struct HistoryProgress
+{
+    /// Version of the replica set that the replica knows.
+    std::uint64_t version = 0;
+    /// The replica holds every turn that it should hold.
+    bool isComplete = false;
+    /// Members whose turns were copied since this version was announced.
+    std::vector<history::ReplicaId> synced;
+};
+
 /// Output of a step of a control instance, to be carried out by its environment.
 struct ControlOutput
 {
@@ -121,6 +133,14 @@
     /// Returns the gateways that callers may use; empty if this instance knows of none.
     [[nodiscard]] auto directory(TimePoint now) const -> std::vector<fb::GatewayAddressT>;
 
+    /// Reports the state of the history replica on this instance.
+    auto setHistoryProgress(HistoryProgress progress) -> void;
+    /// Returns the set of history replicas that the leader announced last.
+    [[nodiscard]] auto historyReplicas() const -> const history::ReplicaSet &
+    {
+        return m_replicas;
+    }
+
     [[nodiscard]] auto takeOutput(TimePoint now) -> ControlOutput;
     [[nodiscard]] auto nextDeadline(TimePoint now) const -> TimePoint;
     [[nodiscard]] auto isLeader(TimePoint now) const -> bool
@@ -212,6 +232,17 @@
     auto logGroupChange(TimePoint now, std::string_view event, const consensus::ReplicaId &replica,
                         const Result<consensus::Index> &result) -> bool;
 
+    // Histories.
+    [[nodiscard]] auto committedReplicas() const -> history::ReplicaSet;
+    /// Announces the replica set if it differs from the last one.
+    auto updateReplicas(TimePoint now) -> void;
+    /// Returns what an instance last reported about its history replica.
+    [[nodiscard]] auto historyProgressOf(const consensus::ReplicaId &replica) const
+        -> HistoryProgress;
+    /// Returns whether the remaining voters hold the turns of a voter that is about to be removed.
+    [[nodiscard]] auto historiesCopied(TimePoint now, const consensus::ReplicaId &leaving) const
+        -> bool;
+
     // Admission.
     auto handle(TimePoint now, const InstanceId &from, fb::AdmissionT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::GrantT &message) -> void;
@@ -281,6 +312,11 @@
     /// Times since which voters have not been serving.
     std::map<consensus::ReplicaId, TimePoint> m_absentSince;
 
+    /// The consensus group as of the last committed change.
+    consensus::Configuration m_committedGroup;
+    history::ReplicaSet m_replicas;
+    HistoryProgress m_historyProgress;
+
     Dispatcher m_dispatcher;
     std::unique_ptr<QuotaTable> m_quotas;
     std::unordered_map<RequestId, AdmissionState> m_admissions;
--- a/libs/fleet/include/heathergate/fleet/event_splitter.h
+++ b/libs/fleet/include/heathergate/fleet/event_splitter.h
@@ -16,6 +16,9 @@
     std::optional<std::uint64_t> id;
 };
 
+/// Returns the data of an event: the values of its `data` fields, joined by line feeds.
+[[nodiscard]] auto eventData(std::string_view event) -> std::string;
+
 /// Splits a byte stream into complete events and buffers an incomplete one.
 class EventSplitter
 {
--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -4,6 +4,7 @@
 #include <heathergate/fleet/event_splitter.h>
 #include <heathergate/fleet/leader_link.h>
 #include <heathergate/fleet/peer_frame.h>
+#include <heathergate/history/history_client.h>
 #include <heathergate/telemetry/telemetry.h>
 
 #include <deque>
@@ -23,6 +24,8 @@
     std::uint64_t boot = 0;
     /// Control instances to contact first.
     std::vector<InstanceId> seeds;
+    /// Limit of the chains of turns that are cached.
+    std::size_t historyCacheBytes = 6UL * 1024 * 1024;
 };
 
 /// Identifies a caller's request until it is answered.
@@ -64,6 +67,10 @@
     std::optional<std::uint64_t> lastEvent;
     /// Identical for requests with the same caller, path and body.
     std::uint64_t fingerprint = 0;
+    /// The turn that this one continues; empty for the first turn of a chain.
+    history::TurnId previousTurn;
+    /// Body of the request; shared with the adapter.
+    std::shared_ptr<const std::string> body;
 };
 
 /// Sends a caller's request to an upstream.
@@ -81,6 +88,8 @@
     /// Whether the request may run at most once, so that it must not be sent on a connection that
     /// the upstream may have closed.
     bool runsOnce = false;
+    /// Earlier turns, which precede the body of the request; null if there are none.
+    history::Chain history;
 };
 
 /// Cancels an attempt at an upstream.
@@ -206,7 +215,15 @@
     }
 
 private:
-    enum class Phase { Waiting, Running };
+    enum class Phase {
+        /// The earlier turns are being read.
+        Reading,
+        /// The leader was asked for a place at an upstream.
+        Waiting,
+        Running,
+        /// The response is complete and its turn is being stored.
+        Storing,
+    };
 
     struct Call
     {
@@ -221,6 +238,12 @@
         int maxAttempts = 1;
         bool isResumable = false;
         int tokensPerEvent = 1;
+        /// The turn is stored before its response ends.
+        bool keepsHistory = false;
+        Duration retention{};
+        history::Chain history;
+        /// Data of the events that were forwarded to the caller, each followed by a line feed.
+        std::string output;
         Duration targetLatency{};
         TimePoint arrivedAt{};
         /// Time at which the caller stops waiting for the response.
@@ -277,6 +300,13 @@
     [[nodiscard]] auto byAttempt(AttemptId attempt) -> Call *;
     [[nodiscard]] auto byAdmission(std::uint64_t admission) -> Call *;
 
+    // Histories.
+    auto readHistory(TimePoint now, Call &call) -> void;
+    auto storeTurn(TimePoint now, Call &call) -> void;
+    auto turnStored(TimePoint now, Call &call, bool isDurable) -> void;
+    auto takeHistoryOutput(TimePoint now) -> void;
+    auto announceReplicas(TimePoint now, const fb::FeedT &message) -> void;
+
     // Messages of control instances.
     auto handle(TimePoint now, const InstanceId &from, fb::FeedT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::RedirectT &message) -> void;
@@ -305,6 +335,7 @@
     std::uint64_t m_lastAdmission = 0;
 
     LeaderLink m_link;
+    history::HistoryClient m_history;
     bool m_leaving = false;
     /// Recent final completions, resent to a new leader because they may have been lost.
     std::deque<std::pair<TimePoint, fb::CompletionT>> m_recentCompletions;
--- a/libs/fleet/src/control_members.cpp
+++ b/libs/fleet/src/control_members.cpp
@@ -1,4 +1,5 @@
 #include <heathergate/fleet/control_node.h>
+#include <heathergate/fleet/history_set.h>
 
 /// Membership: presence of instances, feeds, and the members of the consensus group.
 namespace heathergate::fleet {
@@ -63,6 +64,8 @@
     for (auto &gateway : message.gateways)
         m_knownGateways.push_back(std::move(*gateway));
     addControls(instanceIds(message.controls));
+    if (message.histories && message.histories->version > m_replicas.version)
+        m_replicas = replicaSetOf(*message.histories);
 }
 
 auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::RedirectT &message) -> void
@@ -90,6 +93,10 @@
     presence.leaving = m_leaving;
     presence.replica = m_settings.replica.value;
     presence.configurationVersion = m_state.configuration().version();
+    presence.historyVersion = m_historyProgress.version;
+    presence.historyComplete = m_historyProgress.isComplete;
+    for (const auto &member : m_historyProgress.synced)
+        presence.historySynced.push_back(member.value);
     if (isLeader(now)) {
         auto &own = m_members[m_settings.self];
         own.presence = std::move(presence);
@@ -130,6 +137,9 @@
             feed.gateways.push_back(std::make_unique<fb::GatewayAddressT>(std::move(gateway)));
     }
     feed.controls = controlList();
+    // Repeated with each answer until the presence reports this version.
+    if (presence.historyVersion < m_replicas.version)
+        feed.histories = toTable(m_replicas);
     m_output.messages.push_back({to, PeerFrame(Message(std::move(feed)))});
 }
 
@@ -322,7 +332,7 @@
             return isServing(now, voter) && !shouldLeave(now, voter);
         }));
     if (group.voters.size() > requiredVoters && leaving != group.voters.end()
-        && serving > (group.voters.size() - 1) / 2) {
+        && serving > (group.voters.size() - 1) / 2 && historiesCopied(now, *leaving)) {
         if (instanceOf(*leaving) == m_settings.self)
             m_replica.transferLeadership(now);
         else
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -21,6 +21,7 @@
     , m_log(log)
     , m_replica(m_settings.replica, m_settings.consensus, m_settings.genesis, std::move(recovered),
                 random, now)
+    , m_committedGroup(m_settings.genesis)
 {
     addControls(m_settings.seeds);
     collect(now);
@@ -34,7 +35,8 @@
             m_replica.receive(now, *envelope);
         return;
     }
-    std::visit([&](auto &message) { handle(now, from, message); }, std::get<Message>(frame));
+    if (auto *message = std::get_if<Message>(&frame))
+        std::visit([&](auto &body) { handle(now, from, body); }, *message);
 }
 
 auto ControlNode::synced(TimePoint now, std::uint64_t number) -> void
@@ -61,6 +63,7 @@
     m_nextMaintenance = now + kMaintenanceInterval;
     expireMembers(now);
     maintainGroup(now);
+    updateReplicas(now);
 }
 
 auto ControlNode::leave(TimePoint now) -> void
@@ -147,6 +150,7 @@
         if (const auto restored = m_state.restore(*effects.installed->state); !restored)
             m_log.add(now, telemetry::LogImportance::Important, "state", "snapshot_unreadable",
                       {{"detail", restored.error().detail}});
+        m_committedGroup = effects.installed->meta.configuration;
         m_applied = effects.installed->meta.index;
         m_snapshotAt = m_applied;
     }
@@ -161,6 +165,7 @@
                   {{"term", m_replica.term()}, {"version", m_state.configuration().version()}});
         if (!m_quotas)
             restoreQuotas(now);
+        updateReplicas(now);
         announceLeadership();
         m_nextPresence = now;
         m_nextMaintenance = now + kMaintenanceInterval;
@@ -189,6 +194,12 @@
             m_log.add(now, telemetry::LogImportance::Important, "state", "entry_unreadable",
                       {{"index", entry.index}, {"detail", batch.error().detail}});
     }
+    if (entry.kind == consensus::EntryKind::Configuration) {
+        if (auto group = decode<consensus::Configuration>(entry.payload)) {
+            m_committedGroup = std::move(*group);
+            updateReplicas(now);
+        }
+    }
     if (m_state.configuration().version() != version) {
         m_log.add(now, telemetry::LogImportance::Important, "state", "configuration_in_force",
                   {{"version", m_state.configuration().version()}, {"before", version}});
--- a/libs/fleet/src/event_splitter.cpp
+++ b/libs/fleet/src/event_splitter.cpp
@@ -1,6 +1,7 @@
 #include <heathergate/fleet/event_splitter.h>
 
 #include <charconv>
+#include <utility>
 
 namespace heathergate::fleet {
 
@@ -40,6 +41,28 @@
 
 } // namespace
 
+auto eventData(std::string_view event) -> std::string
+{
+    constexpr std::string_view kField = "data:";
+    std::string data;
+    bool isFirst = true;
+    while (!event.empty()) {
+        auto line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(line.size() + 1, event.size()));
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (!line.starts_with(kField))
+            continue;
+        line.remove_prefix(kField.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        if (!std::exchange(isFirst, false))
+            data += '\n';
+        data += line;
+    }
+    return data;
+}
+
 auto EventSplitter::feed(std::string_view bytes) -> std::vector<StreamEvent>
 {
     m_incomplete.append(bytes);
--- a/libs/fleet/src/gateway.cpp
+++ b/libs/fleet/src/gateway.cpp
@@ -20,6 +20,7 @@
     , m_log(log)
     , m_lastAdmission(m_random.next() >> 8)
     , m_link(m_settings.seeds, m_random.below(kMaxStartOffset), now)
+    , m_history(m_settings.domain, m_settings.historyCacheBytes)
 {
 }
 
@@ -28,6 +29,10 @@
     auto *message = std::get_if<Message>(&frame);
     if (message != nullptr)
         std::visit([&](auto &body) { handle(now, from, body); }, *message);
+    if (const auto *item = std::get_if<history::Message>(&frame)) {
+        m_history.receive(now, from, *item);
+        takeHistoryOutput(now);
+    }
 }
 
 auto Gateway::tick(TimePoint now) -> void
@@ -47,19 +52,23 @@
         if (found == m_calls.end())
             continue;
         auto &call = found->second;
-        const auto limit = call.phase == Phase::Waiting ? call.startBy : call.deadline;
+        const auto isBeforeStart = call.phase == Phase::Reading || call.phase == Phase::Waiting;
+        const auto limit = isBeforeStart ? call.startBy : call.deadline;
         if (now >= limit)
             deadlinePassed(now, call);
         else if (call.phase == Phase::Running)
             checkIdleTimeout(now, call);
     }
+    m_history.tick(now);
+    takeHistoryOutput(now);
 }
 
 auto Gateway::nextDeadline() const -> TimePoint
 {
-    auto next = m_link.nextPresence();
+    auto next = std::min(m_link.nextPresence(), m_history.nextDeadline());
     for (const auto &[token, call] : m_calls) {
-        next = std::min(next, call.phase == Phase::Waiting ? call.startBy : call.deadline);
+        const auto isBeforeStart = call.phase == Phase::Reading || call.phase == Phase::Waiting;
+        next = std::min(next, isBeforeStart ? call.startBy : call.deadline);
         if (call.phase == Phase::Running)
             next = std::min(next, call.lastByteAt + idleTimeoutOf(call));
     }
@@ -93,6 +102,7 @@
     presence.ready = !m_leaving && m_configuration.version() != 0;
     presence.leaving = m_leaving;
     presence.configurationVersion = m_configuration.version();
+    presence.historyVersion = m_history.replicas().version;
     m_effects.emplace_back(PeerOut{*target, PeerFrame(Message(std::move(presence)))});
 }
 
@@ -103,6 +113,7 @@
         return; // The sender is a leader that has been replaced.
     m_link.addCandidates(instanceIds(message.controls));
     applyConfiguration(now, message);
+    announceReplicas(now, message);
     if (*isNew)
         leaderFound(now);
 }
@@ -139,8 +150,10 @@
     // The new leader has no record of the requests that run or wait here.
     for (const auto &[at, completion] : m_recentCompletions)
         sendToLeader(Message(completion));
-    for (const auto &[token, call] : m_calls)
-        sendToLeader(Message(admissionOf(now, call)));
+    for (const auto &[token, call] : m_calls) {
+        if (call.phase == Phase::Waiting || call.phase == Phase::Running)
+            sendToLeader(Message(admissionOf(now, call)));
+    }
 }
 
 auto Gateway::sendToLeader(Message message) -> void
--- a/libs/fleet/src/gateway_attempts.cpp
+++ b/libs/fleet/src/gateway_attempts.cpp
@@ -61,6 +61,7 @@
     start.customer = call.customer;
     start.timeLeft = call.deadline - now;
     start.resumeAfter = call.lastEvent;
+    start.history = call.history;
     start.runsOnce =
         call.kind == RouteKind::Unsafe || (call.kind == RouteKind::Stream && !call.isResumable);
     m_effects.emplace_back(std::move(start));
@@ -132,6 +133,8 @@
     if (event.id)
         call.lastEvent = event.id;
     call.tokens += call.tokensPerEvent;
+    if (call.keepsHistory)
+        call.output += eventData(event.bytes) + '\n';
     return true;
 }
 
@@ -156,6 +159,9 @@
     constexpr int kFirstServerError = 500;
     const auto token = call.request.token;
     const auto failed = call.head.status >= kFirstServerError;
+    constexpr int kOk = 200;
+    if (call.keepsHistory && call.head.status == kOk)
+        return storeTurn(now, call);
     if (call.headForwarded) {
         if (!call.body.empty())
             m_effects.emplace_back(ForwardData{token, std::move(call.body)});
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -47,7 +47,10 @@
     }
     auto &call = m_calls[request.token] = std::move(*opened);
     m_byAdmission[call.admission] = request.token;
-    submit(now, call);
+    if (call.keepsHistory && !request.previousTurn.empty())
+        readHistory(now, call);
+    else
+        submit(now, call);
 }
 
 auto Gateway::openCall(TimePoint now, const CallerRequest &request) -> Result<Call>
@@ -77,6 +80,8 @@
                 + std::min(route->priority, kRoutePriorities - 1);
     call.maxAttempts = std::max(route->maxAttempts, 1);
     call.isResumable = route->isResumable;
+    call.keepsHistory = route->kind == RouteKind::Stream && route->keepsHistory;
+    call.retention = route->retention;
     call.targetLatency = route->targetLatency;
     const auto *service = m_configuration.service(call.service);
     if (service != nullptr && service->engine)
@@ -165,7 +170,7 @@
 {
     auto *call = byAdmission(message.request);
     const auto address = parseEndpoint(message.address);
-    if (call != nullptr && call->phase == Phase::Running)
+    if (call != nullptr && call->phase != Phase::Waiting)
         return; // The grant was repeated after the connection to the leader was lost.
     if (call == nullptr || !address) {
         fb::CompletionT completion;
@@ -181,7 +186,7 @@
 auto Gateway::handle(TimePoint now, const InstanceId &, fb::RefusalT &message) -> void
 {
     auto *call = byAdmission(message.request);
-    if (call == nullptr || call->phase == Phase::Running)
+    if (call == nullptr || call->phase != Phase::Waiting)
         return;
     const auto code = static_cast<Code>(message.code);
     call->settledByLeader = !call->admittedBefore;
@@ -230,6 +235,7 @@
                       now - call.arrivedAt);
     m_byAttempt.erase(call.attempt);
     m_byAdmission.erase(call.admission);
+    m_history.cancel(call.request.token);
     m_calls.erase(call.request.token);
 }
 
@@ -268,6 +274,8 @@
 
 auto Gateway::deadlinePassed(TimePoint now, Call &call) -> void
 {
+    if (call.phase == Phase::Storing)
+        return turnStored(now, call, false);
     if (call.phase == Phase::Running)
         m_effects.emplace_back(CancelAttempt{call.attempt});
     const auto mayHaveRun = call.phase == Phase::Running || !call.mayHaveRunAt.empty();
--- a/libs/fleet/test/control_fleet.h
+++ b/libs/fleet/test/control_fleet.h
@@ -101,6 +101,15 @@
         m_isolated.clear();
     }
 
+    /// Simulates whether the history replica of an instance still copies turns of the others.
+    auto setCopying(const std::string &instance, bool isCopying) -> void
+    {
+        if (isCopying)
+            m_notCopied.insert(instance);
+        else
+            m_notCopied.erase(instance);
+    }
+
     /// Suspends an instance while time advances; messages to it are lost.
     auto suspend(const std::string &instance) -> void
     {
@@ -206,6 +215,7 @@
         for (auto &[name, node] : m_nodes) {
             if (m_suspended.contains(name))
                 continue;
+            reportHistories(name, *node);
             node->tick(m_now);
             auto output = node->takeOutput(m_now);
             for (const auto &write : output.storage) {
@@ -220,6 +230,19 @@
         }
     }
 
+    /// Simulates history replicas that have copied everything, except for the chosen ones.
+    auto reportHistories(const std::string &instance, ControlNode &node) -> void
+    {
+        HistoryProgress progress;
+        progress.version = node.historyReplicas().version;
+        if (!m_notCopied.contains(instance)) {
+            progress.isComplete = true;
+            for (const auto &member : node.historyReplicas().members)
+                progress.synced.push_back(member.id);
+        }
+        node.setHistoryProgress(std::move(progress));
+    }
+
     TimePoint m_now{1h};
     telemetry::EventLog m_log;
     consensus::Configuration m_genesis;
@@ -230,6 +253,7 @@
     std::map<std::string, std::vector<Message>> m_externalMessages;
     std::map<CallToken, CallAnswer> m_answers;
     std::set<std::string> m_isolated;
+    std::set<std::string> m_notCopied;
     std::set<std::string> m_suspended;
     CallToken m_lastToken = 0;
     std::uint64_t m_boots = 0;
--- a/libs/node/include/heathergate/node/control_program.h
+++ b/libs/node/include/heathergate/node/control_program.h
@@ -2,6 +2,7 @@
 
 #include <heathergate/fleet/fleet.h>
 #include <heathergate/log/log.h>
+#include <heathergate/node/history_host.h>
 #include <heathergate/node/process.h>
 #include <heathergate/storage/storage.h>
 
@@ -48,7 +49,7 @@
         hooks.onFrame = [this](const InstanceId &from, const std::string &body) {
             auto frame = fleet::decodeFrame(body);
             if (frame)
-                m_node->receive(now(), from, std::move(*frame));
+                receive(from, std::move(*frame));
             else
                 m_process.log().add(now(), telemetry::LogImportance::Important, "peers",
                                     "frame_unreadable",
@@ -90,6 +91,14 @@
         return m_process.loop().now();
     }
 
+    auto receive(const InstanceId &from, fleet::PeerFrame frame) -> void
+    {
+        if (auto *message = std::get_if<history::Message>(&frame))
+            m_history->receive(from, std::move(*message));
+        else
+            m_node->receive(now(), from, std::move(frame));
+    }
+
     auto openNode() -> Result<void>
     {
         const auto &settings = m_process.settings();
@@ -126,7 +135,11 @@
                     m_process.stop(1);
                 });
             });
-        return {};
+        m_history = std::make_unique<HistoryHost>(m_process, m_node->metrics());
+        if (auto opened = m_history->open(identity->replica, !identity->genesis.voters.empty());
+            !opened)
+            return opened;
+        return m_files->syncFolder();
     }
 
     [[nodiscard]] auto controlSettings(const DiskIdentity &identity) -> fleet::ControlSettings
@@ -161,7 +174,9 @@
             m_process.send(out.to, fleet::encodeFrame(std::move(out.frame)));
         for (const auto &answer : output.answers)
             m_adapter->answer(answer);
-        auto next = m_node->nextDeadline(at);
+        const auto historyDeadline = m_history->round(at, m_node->historyReplicas());
+        m_node->setHistoryProgress(m_history->progress());
+        auto next = std::min(m_node->nextDeadline(at), historyDeadline);
         if (m_stopDeadline) {
             const auto leadershipTransferred =
                 m_node->replica().role() != consensus::Role::Leader && m_node->replica().leader();
@@ -175,6 +190,7 @@
     Process m_process;
     std::unique_ptr<log::PosixFiles> m_files;
     std::unique_ptr<fleet::ControlNode> m_node;
+    std::unique_ptr<HistoryHost> m_history;
     std::unique_ptr<Adapter> m_adapter;
     /// Time at which a stopping instance ends even if no successor leads.
     std::optional<TimePoint> m_stopDeadline;
--- a/libs/node/include/heathergate/node/process.h
+++ b/libs/node/include/heathergate/node/process.h
@@ -60,6 +60,11 @@
     {
         return InstanceId(m_settings.host);
     }
+    /// Returns the difference between the time since the Unix epoch and the clock of the loop.
+    [[nodiscard]] auto wallOffset() const -> Duration
+    {
+        return m_wallOffset;
+    }
     /// Returns the seed instances of the settings.
     [[nodiscard]] auto seeds() const -> std::vector<InstanceId>;
 
@@ -74,6 +79,7 @@
     std::string m_file;
     std::string m_fileContent;
     net::EventLoop m_loop;
+    Duration m_wallOffset;
     telemetry::EventLog m_log;
     Hooks m_hooks;
     std::unique_ptr<net::PeerLinks> m_links;
--- a/libs/node/src/process.cpp
+++ b/libs/node/src/process.cpp
@@ -42,7 +42,7 @@
 }
 
 /// Returns the difference between the wall clock and the boot-time clock.
-auto wallOffset() -> Duration
+auto currentWallOffset() -> Duration
 {
     struct timespec wall = {};
     ::clock_gettime(CLOCK_REALTIME, &wall);
@@ -88,7 +88,8 @@
     : m_settings(std::move(settings))
     , m_file(std::move(file))
     , m_fileContent(readFile(m_file))
-    , m_log(wallOffset())
+    , m_wallOffset(currentWallOffset())
+    , m_log(m_wallOffset)
 {
 }
 
