Let an event loop see the current time and any number of handles

Ten of fifteen control instances are outside the group, know the leader only by its feeds and answered 503. Found while reading: socket handlers saw the time at which the loop had begun to wait, up to 300 ms early, so that a gateway counted waits that had not happened. Change: ACE's epoll reactor, drained in rounds; the time is read when the first socket is ready; the limit of handles is the process's own, logged at the start and when it is reached, with a metric; instances outside the group redirect to the leader of their last feed; a line and a counter for each call that a follower answers.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -265,7 +265,7 @@
     auto takeDispatcherOutput(TimePoint now) -> void;
 
     // Calls.
-    auto answerNotLeader(CallToken token) -> void;
+    auto answerNotLeader(TimePoint now, CallToken token, std::string_view call) -> void;
     [[nodiscard]] auto commitAnswer(CallToken token) -> CommitHandler;
     auto setUpstream(TimePoint now, const UpstreamRecord &record, std::string_view why,
                      CommitHandler handler) -> void;
@@ -302,6 +302,8 @@
     std::vector<fb::GatewayAddressT> m_knownGateways;
     /// Instance that presence is sent to while this one does not lead.
     std::optional<InstanceId> m_presumedLeader;
+    /// The leader that sent the last feed, as long as it is recent.
+    std::optional<InstanceId> m_feedLeader;
     std::size_t m_nextControl = 0;
     TimePoint m_lastFeedAt{};
     TimePoint m_nextPresence{};
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -19,15 +19,26 @@
 
 } // namespace
 
-auto ControlNode::answerNotLeader(CallToken token) -> void
+auto ControlNode::answerNotLeader(TimePoint now, CallToken token, std::string_view call) -> void
 {
     CallAnswer answer;
     answer.token = token;
     answer.status = CallStatus::Unavailable;
-    if (const auto leader = leaderInstance(); leader && *leader != m_settings.self) {
+    auto leader = leaderInstance();
+    const auto &group = m_replica.configuration();
+    const auto isInGroup = group.isVoter(m_settings.replica) || group.isLearner(m_settings.replica);
+    // An instance outside the group learns of the leader only by its feeds.
+    if (!leader && !isInGroup)
+        leader = m_feedLeader;
+    if (leader && *leader != m_settings.self) {
         answer.status = CallStatus::Redirect;
         answer.leaderAddress = leader->value;
     }
+    m_log.add(now, LogImportance::Routine, "operator", "not_leader",
+              {{"call", call}, {"leader", answer.leaderAddress}, {"term", m_replica.term()}});
+    m_metrics.count("heathergate_calls_not_leader_total",
+                    {{"call", std::string(call)},
+                     {"answer", answer.leaderAddress.empty() ? "unavailable" : "redirect"}});
     m_output.answers.push_back(std::move(answer));
 }
 
@@ -46,7 +57,7 @@
     -> void
 {
     if (!isLeader(now))
-        return answerNotLeader(token);
+        return answerNotLeader(now, token, "put_configuration");
     const auto current = m_state.configuration().version();
     m_log.add(now, LogImportance::Important, "operator", "configuration_received",
               {{"version", configuration.version},
@@ -70,7 +81,7 @@
 auto ControlNode::readConfiguration(TimePoint now, CallToken token) -> void
 {
     if (!isLeader(now))
-        return answerNotLeader(token);
+        return answerNotLeader(now, token, "read_configuration");
     CallAnswer answer;
     answer.token = token;
     if (m_state.configuration().version() == 0)
@@ -108,7 +119,7 @@
 auto ControlNode::startRetiring(TimePoint now, CallToken token, const std::string &name) -> void
 {
     if (!isLeader(now))
-        return answerNotLeader(token);
+        return answerNotLeader(now, token, "retire");
     CallAnswer answer;
     answer.token = token;
     const auto instance = findMember(name);
@@ -140,7 +151,7 @@
 auto ControlNode::readRetiring(TimePoint now, CallToken token, const std::string &name) -> void
 {
     if (!isLeader(now))
-        return answerNotLeader(token);
+        return answerNotLeader(now, token, "retire_state");
     CallAnswer answer;
     answer.token = token;
     const auto instance = findMember(name);
@@ -178,7 +189,7 @@
     -> void
 {
     if (!isLeader(now))
-        return answerNotLeader(token);
+        return answerNotLeader(now, token, "heartbeat");
     const auto &record = report.record;
     CallAnswer answer;
     answer.token = token;
@@ -231,7 +242,7 @@
 auto ControlNode::upstreamLeft(TimePoint now, CallToken token, const UpstreamId &id) -> void
 {
     if (!isLeader(now))
-        return answerNotLeader(token);
+        return answerNotLeader(now, token, "leave");
     const auto known = m_state.upstreams().find(id);
     if (known == m_state.upstreams().end() || known->second.phase == UpstreamPhase::Removed) {
         CallAnswer answer;
--- a/libs/fleet/src/control_members.cpp
+++ b/libs/fleet/src/control_members.cpp
@@ -59,6 +59,7 @@
 auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::FeedT &message) -> void
 {
     m_presumedLeader = from;
+    m_feedLeader = from;
     m_lastFeedAt = now;
     m_knownGateways.clear();
     for (auto &gateway : message.gateways)
@@ -74,6 +75,7 @@
     if (m_presumedLeader != from)
         return;
     m_presumedLeader.reset();
+    m_feedLeader.reset();
     if (!message.leader.empty() && message.leader != m_settings.self.value)
         m_presumedLeader = InstanceId(message.leader);
     constexpr Duration kRedirectDelay = std::chrono::milliseconds(60);
@@ -107,6 +109,8 @@
         m_presumedLeader = leader;
     else if (now - m_lastFeedAt > kLeaderTimeout)
         m_presumedLeader.reset();
+    if (now - m_lastFeedAt > kLeaderTimeout)
+        m_feedLeader.reset();
     if (!m_presumedLeader && !m_controls.empty()) {
         auto next = m_controls.begin();
         std::advance(next, static_cast<std::ptrdiff_t>(m_nextControl++ % m_controls.size()));
--- a/libs/fleet/test/control_calls_test.cpp
+++ b/libs/fleet/test/control_calls_test.cpp
@@ -91,4 +91,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AtAnInstanceOutsideTheGroup)
+
+BOOST_AUTO_TEST_CASE(callsAreRedirectedToTheLeaderThatItsFeedsName)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.start("10.0.0.7", "10.0.0.7~x", {});
+    fleet.run(2s);
+    const auto token = fleet.heartbeat("10.0.0.7", upstream("u", 1, 1));
+    fleet.run(10ms);
+    const auto answer = fleet.answer(token);
+    BOOST_TEST_REQUIRE(answer.has_value());
+    BOOST_TEST((answer->status == CallStatus::Redirect));
+    BOOST_TEST(answer->leaderAddress == leader);
+}
+
+BOOST_AUTO_TEST_CASE(callsAreNotSentToALeaderThatHasFallenSilent)
+{
+    Fleet fleet;
+    fleet.waitForLeader();
+    fleet.start("10.0.0.7", "10.0.0.7~x", {});
+    fleet.run(2s);
+    fleet.isolate("10.0.0.7");
+    fleet.run(2s);
+    const auto token = fleet.heartbeat("10.0.0.7", upstream("u", 1, 1));
+    fleet.run(10ms);
+    BOOST_TEST((fleet.answer(token)->status == CallStatus::Unavailable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/net/include/heathergate/net/event_loop.h
+++ b/libs/net/include/heathergate/net/event_loop.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <utility>
 
 /// Sockets and timers of one process on one thread: an ACE reactor with HTTP and peer links on it.
 namespace heathergate::net {
@@ -36,11 +37,33 @@
     auto operator=(const EventLoop &) -> EventLoop & = delete;
     ~EventLoop();
 
-    /// Returns the time at which the current round of handlers began.
+    /// Returns the time at which the current round of timers, or of socket handlers, began.
     [[nodiscard]] auto now() const -> TimePoint
     {
         return m_now;
     }
+    /// Updates the time after the wait for socket events. Every socket handler calls it first.
+    auto socketReady() -> void
+    {
+        if (std::exchange(m_isWaiting, false))
+            m_now = m_clock.now();
+    }
+
+    /// Returns the number of handles that sockets of this loop may use.
+    [[nodiscard]] auto maxHandles() const -> int
+    {
+        return m_maxHandles;
+    }
+    /// Records that a connection was closed because the process has too many handles.
+    auto countRefusedHandle() -> void
+    {
+        ++m_refusedHandles;
+    }
+    /// Returns the number of connections that were closed for lack of handles.
+    [[nodiscard]] auto refusedHandles() const -> std::uint64_t
+    {
+        return m_refusedHandles;
+    }
 
     /// Runs an action once at `time`.
     auto at(TimePoint time, Action action) -> TimerId;
@@ -75,6 +98,9 @@
 
     BootClock m_clock;
     TimePoint m_now{};
+    bool m_isWaiting = false;
+    int m_maxHandles;
+    std::uint64_t m_refusedHandles = 0;
     ACE_Reactor m_reactor;
     std::map<std::pair<TimePoint, TimerId>, Action> m_timers;
     std::map<TimerId, TimePoint> m_timerTimes;
--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -1,7 +1,9 @@
 #include <heathergate/net/event_loop.h>
 
-#include <ace/Select_Reactor.h>
+#include <ace/Dev_Poll_Reactor.h>
+#include <algorithm>
 #include <ctime>
+#include <sys/resource.h>
 
 namespace heathergate::net {
 
@@ -10,6 +12,22 @@
 /// Maximum wait of one poll; bounds the delay after a lost wake-up.
 constexpr Duration kMaxPollInterval = std::chrono::seconds(1);
 
+/// Socket events that are handled before timers and the end of the round get their turn.
+constexpr int kMaxEventsPerRound = 256;
+/// Handles that sockets leave to files and to the reactor itself.
+constexpr int kReservedHandles = 64;
+/// Bounds the tables of the reactor, which grow with the limit of the process.
+constexpr int kMaxReactorHandles = 65'536;
+
+/// Returns the number of handles that the process may open.
+auto handleLimit() -> int
+{
+    struct rlimit limit = {};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > kMaxReactorHandles)
+        return kMaxReactorHandles;
+    return static_cast<int>(limit.rlim_cur);
+}
+
 } // namespace
 
 auto BootClock::now() const -> TimePoint
@@ -22,7 +40,8 @@
 
 EventLoop::EventLoop()
     : m_now(m_clock.now())
-    , m_reactor(new ACE_Select_Reactor, true)
+    , m_maxHandles(std::max(handleLimit() - kReservedHandles, kReservedHandles))
+    , m_reactor(new ACE_Dev_Poll_Reactor(static_cast<size_t>(handleLimit())), true)
 {
 }
 
@@ -86,7 +105,14 @@
     const auto now = m_clock.now();
     const auto wait = next <= now ? Duration::zero() : std::min(kMaxPollInterval, next - now);
     ACE_Time_Value timeout(0, static_cast<suseconds_t>(wait.count()));
-    m_reactor.handle_events(timeout);
+    m_isWaiting = true;
+    // The reactor handles one event in each call.
+    for (int events = 0; events < kMaxEventsPerRound; ++events) {
+        if (m_reactor.handle_events(timeout) <= 0)
+            break;
+        timeout = ACE_Time_Value::zero;
+    }
+    m_isWaiting = false;
 }
 
 auto EventLoop::stop() -> void
--- a/libs/net/src/tcp_stream.cpp
+++ b/libs/net/src/tcp_stream.cpp
@@ -6,16 +6,12 @@
 #include <array>
 #include <cerrno>
 #include <netinet/tcp.h>
-#include <sys/select.h>
 
 namespace heathergate::net {
 
 namespace {
 
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
-/// Sockets with a handle at or above this number are closed: the descriptor sets of the select
-/// reactor hold handles below FD_SETSIZE, of which the last 8 are left unused.
-constexpr ACE_HANDLE kHandleLimit = FD_SETSIZE - 8;
 /// TCP keep-alive detects connections whose network path has failed: idle seconds before the first
 /// probe, seconds between probes, and unanswered probes until the connection is closed.
 constexpr int kKeepAliveIdleSeconds = 2;
@@ -62,7 +58,8 @@
         socket.close();
         return nullptr;
     }
-    if (socket.get_handle() >= kHandleLimit) {
+    if (socket.get_handle() >= loop.maxHandles()) {
+        loop.countRefusedHandle();
         socket.close();
         return nullptr;
     }
@@ -204,6 +201,7 @@
 auto TcpStream::handle_input(ACE_HANDLE) -> int
 {
     const auto self = shared_from_this();
+    m_loop.socketReady();
     std::array<char, kReadBufferBytes> buffer;
     const auto received = ::recv(m_handle, buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (received < 0 && (errno == EINTR || errno == EWOULDBLOCK || errno == EAGAIN))
@@ -220,6 +218,7 @@
 auto TcpStream::handle_output(ACE_HANDLE) -> int
 {
     const auto self = shared_from_this();
+    m_loop.socketReady();
     if (!m_connected) {
         int error = 0;
         socklen_t size = sizeof(error);
@@ -273,11 +272,13 @@
 
 auto TcpListener::handle_input(ACE_HANDLE) -> int
 {
+    m_loop.socketReady();
     while (true) {
         ACE_SOCK_Stream socket;
         if (m_acceptor.accept(socket, nullptr, nullptr, true) != 0)
             return 0;
-        if (socket.get_handle() >= kHandleLimit) {
+        if (socket.get_handle() >= m_loop.maxHandles()) {
+            m_loop.countRefusedHandle();
             socket.close();
             continue;
         }
--- a/libs/node/include/heathergate/node/process.h
+++ b/libs/node/include/heathergate/node/process.h
@@ -72,6 +72,7 @@
     auto roundEnded() -> void;
     auto reload(std::string_view reason) -> void;
     auto checkFile() -> void;
+    auto reportRefusedHandles() -> void;
     auto flushLog() -> void;
     auto openMetrics() -> Result<void>;
 
@@ -89,6 +90,8 @@
     net::TimerId m_wakeTimer = 0;
     /// Time of `m_wakeTimer`; the maximum if it is not set.
     TimePoint m_wakeTime = TimePoint::max();
+    /// Connections refused for lack of handles, as last logged.
+    std::uint64_t m_reportedRefusals = 0;
     bool m_flushScheduled = false;
     bool m_stopHandled = false;
     int m_status = 0;
--- a/libs/node/src/process.cpp
+++ b/libs/node/src/process.cpp
@@ -133,6 +133,8 @@
             auto &metrics = m_hooks.metrics();
             metrics.set("heathergate_log_lines_left_out", {},
                         static_cast<double>(m_log.droppedLines()));
+            metrics.set("heathergate_connections_refused_for_handles", {},
+                        static_cast<double>(m_loop.refusedHandles()));
             response.headers.add("Content-Type", "text/plain; version=0.0.4");
             response.body = metrics.render();
         } else {
@@ -157,6 +159,7 @@
                {"host", m_settings.host},
                {"role", static_cast<int>(m_settings.role)},
                {"domain", m_settings.domain.value},
+               {"handles", m_loop.maxHandles()},
                {"bootstrap", m_settings.bootstrap ? 1 : 0}});
     m_loop.run();
     m_log.add(m_loop.now(), LogImportance::Important, "process", "stopped", {{"status", m_status}});
@@ -192,10 +195,20 @@
 auto Process::checkFile() -> void
 {
     m_loop.at(m_loop.now() + kFileCheckInterval, [this] { checkFile(); });
+    reportRefusedHandles();
     if (readFile(m_file) != m_fileContent)
         reload("file_changed");
 }
 
+auto Process::reportRefusedHandles() -> void
+{
+    const auto refused = m_loop.refusedHandles();
+    if (std::exchange(m_reportedRefusals, refused) == refused)
+        return;
+    m_log.add(m_loop.now(), LogImportance::Important, "process", "handles_exhausted",
+              {{"limit", m_loop.maxHandles()}, {"refused", refused}});
+}
+
 auto Process::reload(std::string_view reason) -> void
 {
     auto content = readFile(m_file);
