Bound what an upstream or caller can make an instance read or hold

Cause: an event that never ends was buffered without limit and searched from its start at each read; bodies without signature held their slot until the deadline; interim responses and responses to other requests were read without end; output for a caller that does not read grew without limit. Found by the test of the last: ACE's epoll reactor cannot remove a handler without interest and kept a pointer to the freed stream. Change: limits of 1 MiB for an event and for skipped bytes, 256 KiB for an invalid body, 8 MiB of pending output; a stream without interest is not registered. Tests send up to 200 MB of each. Also: 100 Continue before a 413, counters above 1e6 lost digits, two fields with one name in event_out_of_order, a limit of declines that decided nothing.

--- a/libs/fleet/include/heathergate/fleet/event_splitter.h
+++ b/libs/fleet/include/heathergate/fleet/event_splitter.h
@@ -25,6 +25,11 @@
 public:
     /// Appends bytes and returns the events that they complete.
     [[nodiscard]] auto feed(std::string_view bytes) -> std::vector<StreamEvent>;
+    /// Returns whether the incomplete event is longer than any event may be.
+    [[nodiscard]] auto isTooLong() const -> bool
+    {
+        return m_incomplete.size() > kMaxEventBytes;
+    }
     /// Returns whether no incomplete event is buffered.
     [[nodiscard]] auto isAtBoundary() const -> bool
     {
@@ -37,6 +42,8 @@
     }
 
 private:
+    static constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+
     std::string m_incomplete;
 };
 
--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -262,13 +262,13 @@
         /// The head of the response was forwarded to the caller.
         bool headForwarded = false;
         std::string body;
+        /// Bytes of the body of an invalid response.
+        std::size_t ignoredBytes = 0;
         EventSplitter events;
         std::optional<std::uint64_t> lastEvent;
         std::int64_t tokens = 0;
         /// Number of attempts, including the running one.
         int tries = 0;
-        /// Number of attempts that upstreams declined.
-        int declines = 0;
         /// Upstreams at which the request may have run.
         std::set<UpstreamId> mayHaveRunAt;
         std::vector<UpstreamId> avoid;
@@ -287,6 +287,7 @@
     auto startAttempt(TimePoint now, Call &call, const UpstreamId &upstream,
                       const Endpoint &address) -> void;
     auto streamData(TimePoint now, Call &call, std::string_view bytes) -> void;
+    auto breakOff(TimePoint now, Call &call, bool mayHaveRun) -> void;
     [[nodiscard]] auto acceptEvent(Call &call, const StreamEvent &event) -> bool;
     auto attemptSucceeded(TimePoint now, Call &call) -> void;
     auto attemptFailed(TimePoint now, Call &call, AttemptOutcome outcome, bool sent) -> void;
--- a/libs/fleet/src/event_splitter.cpp
+++ b/libs/fleet/src/event_splitter.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-/// Returns the position after the blank line that ends the first event, or npos.
-auto endOfEvent(std::string_view bytes) -> std::size_t
+/// Returns the position after the first blank line that ends at `from` or later, or npos.
+auto endOfEvent(std::string_view bytes, std::size_t from) -> std::size_t
 {
-    for (std::size_t at = bytes.find('\n'); at != std::string_view::npos;
+    for (std::size_t at = bytes.find('\n', from); at != std::string_view::npos;
          at = bytes.find('\n', at + 1)) {
         if (bytes.substr(at + 1, 1) == "\n")
             return at + 2;
@@ -65,12 +65,15 @@
 
 auto EventSplitter::feed(std::string_view bytes) -> std::vector<StreamEvent>
 {
+    // The end of an event can lie in what was received before only by its last two bytes.
+    constexpr std::size_t kMaxSplitEnd = 2;
+    auto searchFrom = m_incomplete.size() - std::min(m_incomplete.size(), kMaxSplitEnd);
     m_incomplete.append(bytes);
     std::vector<StreamEvent> events;
     std::size_t start = 0;
     while (true) {
         const auto rest = std::string_view(m_incomplete).substr(start);
-        const auto size = endOfEvent(rest);
+        const auto size = endOfEvent(rest, std::exchange(searchFrom, 0));
         if (size == std::string_view::npos)
             break;
         events.push_back({std::string(rest.substr(0, size)), idOf(rest.substr(0, size))});
--- a/libs/fleet/src/gateway_attempts.cpp
+++ b/libs/fleet/src/gateway_attempts.cpp
@@ -9,8 +9,6 @@
 
 /// Maximum number of attempts of one request, regardless of why the earlier ones failed.
 constexpr int kMaxTotalAttempts = 4;
-/// Maximum number of times that upstreams may decline one request before it is refused.
-constexpr int kMaxDeclines = 3;
 /// Maximum time without a byte of a resumable stream before its attempt times out.
 constexpr Duration kStreamIdleTimeout = std::chrono::milliseconds(700);
 /// Idle timeout of an idempotent request, in multiples of its target latency.
@@ -20,6 +18,8 @@
 /// Maximum size of a body that is buffered until it is complete; a longer one is forwarded while it
 /// is received.
 constexpr std::size_t kMaxBufferedBodyBytes = 256 * 1024;
+/// Maximum size of a body that is received and not forwarded, because it is no valid response.
+constexpr std::size_t kMaxIgnoredBytes = 256 * 1024;
 /// Retry delay for a caller whose request no upstream accepted.
 constexpr Duration kNoUpstreamRetryAfter = std::chrono::milliseconds(300);
 
@@ -37,6 +37,7 @@
     call.firstByteAt.reset();
     call.headReceived = false;
     call.body.clear();
+    call.ignoredBytes = 0;
     call.events.reset();
     ++call.tries;
     m_byAttempt[call.attempt] = call.request.token;
@@ -85,8 +86,12 @@
     call->lastByteAt = now;
     if (!call->firstByteAt)
         call->firstByteAt = now;
-    if (call->head.declined || !call->head.isAuthentic)
+    if (call->head.declined || !call->head.isAuthentic) {
+        call->ignoredBytes += bytes.size();
+        if (call->ignoredBytes > kMaxIgnoredBytes)
+            breakOff(now, *call, !call->head.declined);
         return;
+    }
     constexpr int kOk = 200;
     if (call->kind == RouteKind::Stream && call->head.status == kOk)
         return streamData(now, *call, bytes);
@@ -107,15 +112,16 @@
             m_log.add(now, LogImportance::Important, "calls", "event_out_of_order",
                       {{"request", call.request.name},
                        {"upstream", call.upstream.value},
-                       {"event", event.id.value_or(0)},
+                       {"number", event.id.value_or(0)},
                        {"last", call.lastEvent.value_or(0)}});
             if (!ready.empty())
                 m_effects.emplace_back(ForwardData{call.request.token, std::move(ready)});
-            m_effects.emplace_back(CancelAttempt{call.attempt});
-            return attemptFailed(now, call, AttemptOutcome::Broken, true);
+            return breakOff(now, call, true);
         }
         ready += event.bytes;
     }
+    if (call.events.isTooLong())
+        return breakOff(now, call, true);
     if (ready.empty())
         return;
     if (!std::exchange(call.headForwarded, true)) {
@@ -126,6 +132,13 @@
     m_effects.emplace_back(ForwardData{call.request.token, std::move(ready)});
 }
 
+/// Ends an attempt whose response is not valid. It may have run unless the upstream declined it.
+auto Gateway::breakOff(TimePoint now, Call &call, bool mayHaveRun) -> void
+{
+    m_effects.emplace_back(CancelAttempt{call.attempt});
+    attemptFailed(now, call, AttemptOutcome::Broken, mayHaveRun);
+}
+
 auto Gateway::acceptEvent(Call &call, const StreamEvent &event) -> bool
 {
     if (event.id && call.lastEvent && *event.id != *call.lastEvent + 1)
@@ -208,8 +221,6 @@
     if ((sent && !isRetryable) || !canContinue || call.tries >= kMaxTotalAttempts
         || now >= call.deadline)
         return false;
-    if (outcome == AttemptOutcome::Declined && ++call.declines > kMaxDeclines)
-        return false;
     reportOutcome(now, call, outcome, false);
     call.pinnedUpstream.reset();
     const auto mayChangeUpstream =
--- a/libs/fleet/test/gateway_test.cpp
+++ b/libs/fleet/test/gateway_test.cpp
@@ -273,4 +273,46 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(WhenAnUpstreamSendsBytesWithoutEnd, ConnectedFixture)
+
+BOOST_AUTO_TEST_CASE(anEventThatNeverEndsBreaksTheAttemptOff)
+{
+    request("/stream/x");
+    const auto attempt = grant("e1").attempt;
+    head(attempt);
+    const std::string bytes(64 * 1024, 'x');
+    std::size_t sent = 0;
+    while (sent < 200U * 1024 * 1024 && take<CancelAttempt>().empty()) {
+        m_gateway.attemptData(m_now, attempt, bytes);
+        sent += bytes.size();
+    }
+    BOOST_TEST(sent < 2U * 1024 * 1024);
+    // Another attempt is made, because the stream can be resumed.
+    BOOST_TEST(take<fb::CompletionT>().size() == 1U);
+    BOOST_TEST(take<fb::AdmissionT>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aBodyWithoutSignatureIsReadOnlyUpToALimit)
+{
+    for (const auto declined : {false, true}) {
+        request("/unsafe/x");
+        const auto attempt = grant("t1").attempt;
+        m_gateway.attemptHead(m_now, attempt, {200, declined, false});
+        const std::string bytes(64 * 1024, 'x');
+        std::size_t sent = 0;
+        while (sent < 200U * 1024 * 1024 && take<CancelAttempt>().empty()) {
+            m_gateway.attemptData(m_now, attempt, bytes);
+            sent += bytes.size();
+        }
+        BOOST_TEST(sent < 1024U * 1024);
+        const auto refused = take<RefuseCaller>();
+        BOOST_TEST(refused.empty() == declined);
+        if (!declined)
+            BOOST_TEST((refused[0].error.ran == Ran::Unknown));
+        BOOST_TEST(take<ForwardData>().empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/net/include/heathergate/net/http_server.h
+++ b/libs/net/include/heathergate/net/http_server.h
@@ -94,6 +94,7 @@
 
     auto accepted(std::shared_ptr<TcpStream> stream) -> void;
     [[nodiscard]] auto find(ExchangeId exchange) -> Connection *;
+    auto abandon(std::uint64_t connection) -> void;
     auto remove(std::uint64_t connection) -> void;
 
     EventLoop &m_loop;
--- a/libs/net/include/heathergate/net/tcp_stream.h
+++ b/libs/net/include/heathergate/net/tcp_stream.h
@@ -89,6 +89,7 @@
 
     auto setUserTimeout(Duration timeout) -> void;
     auto updateInterest() -> void;
+    auto unregister() -> void;
     auto flush() -> void;
     auto fail(bool clean) -> void;
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::size_t kMaxHeadBytes = 64 * 1024;
+/// Bytes that are skipped while a response is awaited: interim responses, and late responses to
+/// other requests.
+constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
 /// Maximum time to establish a connection; servers are on the same network.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 /// Maximum time for which sent bytes may stay unacknowledged.
@@ -89,6 +92,7 @@
         m_parser.reset();
         m_isReusable = false;
         m_skipping = false;
+        m_skippedBytes = 0;
         m_hasResponse = false;
         m_startedAt = m_client.m_loop.now();
         m_stream->beginMessage();
@@ -133,6 +137,9 @@
                 return;
             if (!used)
                 return end(false);
+            m_skippedBytes += m_skipping ? *used : 0;
+            if (m_skippedBytes > kMaxSkippedBytes)
+                return end(false);
             bytes.remove_prefix(*used);
             if (m_parser.hasEnded() && !messageEnded(bytes.empty()))
                 return;
@@ -217,6 +224,7 @@
     TimePoint m_startedAt{};
     /// The response that is being parsed is interim or belongs to another request.
     bool m_skipping = false;
+    std::size_t m_skippedBytes = 0;
     Duration m_allowedIdle{};
     TimePoint m_idleSince{};
     TimerId m_timer = 0;
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kClientUserTimeout = std::chrono::seconds(6);
 /// Bytes of pipelined requests that a connection buffers before it stops reading.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+/// Output buffered for a client that does not read; beyond it the connection is closed.
+constexpr std::size_t kMaxPendingOutputBytes = 8 * 1024 * 1024;
 
 auto errorResponse(int status) -> HttpResponse
 {
@@ -90,6 +92,15 @@
         std::string out;
         appendChunk(out, bytes);
         m_stream->write(out);
+        if (m_stream->pendingOutput() > kMaxPendingOutputBytes)
+            m_server.m_loop.defer([&server = m_server, id = m_id] { server.abandon(id); });
+    }
+
+    /// Closes the connection and discards its pending output.
+    auto abandon() -> void
+    {
+        m_stream->abort();
+        disconnected();
     }
 
     auto endStream(bool complete) -> void
@@ -171,7 +182,8 @@
         if (head.contentLength && *head.contentLength > m_server.m_limits.maxBodyBytes)
             m_rejectStatus = 413;
         const auto *expectation = head.headers.find("Expect");
-        if (expectation != nullptr && equalNames(*expectation, "100-continue"))
+        if (m_rejectStatus == 0 && expectation != nullptr
+            && equalNames(*expectation, "100-continue"))
             m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
         m_request.head = std::move(head);
     }
@@ -270,6 +282,12 @@
     return found->second.get();
 }
 
+auto HttpServer::abandon(std::uint64_t connection) -> void
+{
+    if (const auto found = m_connections.find(connection); found != m_connections.end())
+        found->second->abandon();
+}
+
 auto HttpServer::remove(std::uint64_t connection) -> void
 {
     const auto found = m_connections.find(connection);
--- a/libs/net/src/tcp_stream.cpp
+++ b/libs/net/src/tcp_stream.cpp
@@ -102,10 +102,8 @@
 {
     if (!isOpen())
         return;
-    const auto handle = std::exchange(m_handle, ACE_INVALID_HANDLE);
-    m_loop.reactor().remove_handler(handle, ACE_Event_Handler::ALL_EVENTS_MASK
-                                                | ACE_Event_Handler::DONT_CALL);
-    ACE_OS::closesocket(handle);
+    unregister();
+    ACE_OS::closesocket(std::exchange(m_handle, ACE_INVALID_HANDLE));
     // The handlers may own the object that calls this function, so they are destroyed at the end of
     // the round.
     if (auto self = weak_from_this().lock())
@@ -152,14 +150,23 @@
         wanted |= ACE_Event_Handler::WRITE_MASK;
     if (wanted == m_interest)
         return;
+    if (wanted == ACE_Event_Handler::NULL_MASK)
+        return unregister();
     if (m_interest == ACE_Event_Handler::NULL_MASK)
         m_loop.reactor().register_handler(m_handle, this, wanted);
-    else {
+    else
         m_loop.reactor().mask_ops(m_handle, wanted, ACE_Reactor::SET_MASK);
-    }
     m_interest = wanted;
 }
 
+/// The reactor cannot remove a handler without interest, and would keep a pointer to it.
+auto TcpStream::unregister() -> void
+{
+    if (std::exchange(m_interest, ACE_Event_Handler::NULL_MASK) != ACE_Event_Handler::NULL_MASK)
+        m_loop.reactor().remove_handler(m_handle, ACE_Event_Handler::ALL_EVENTS_MASK
+                                                      | ACE_Event_Handler::DONT_CALL);
+}
+
 auto TcpStream::flush() -> void
 {
     while (isOpen() && pendingOutput() > 0) {
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -199,6 +199,30 @@
     BOOST_TEST(closed);
 }
 
+BOOST_AUTO_TEST_CASE(asksForNoBodyThatItWillRefuse)
+{
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\nExpect: 100-continue\r\n\r\n");
+    BOOST_TEST(received.find("100 Continue") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(closesTheConnectionOfAClientThatDoesNotReadAStream)
+{
+    connect();
+    runFor(30ms);
+    stream->setReading(false);
+    send(kGet);
+    server.beginStream(requests.at(0).first, 200, {});
+    const std::string bytes(64 * 1024, 'x');
+    std::size_t written = 0;
+    while (disconnected.empty() && written < 200U * 1024 * 1024) {
+        server.write(requests[0].first, bytes);
+        written += bytes.size();
+        runFor(1ms);
+    }
+    BOOST_TEST(disconnected.size() == 1U);
+    BOOST_TEST(written < 32U * 1024 * 1024);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -372,4 +396,40 @@
     BOOST_TEST(!ends[0].complete);
 }
 
+BOOST_AUTO_TEST_CASE(endsARequestWhoseResponseNeverBegins)
+{
+    constexpr std::size_t kEndless = 200U * 1024 * 1024;
+    const std::string filler(60 * 1024, 'x');
+    const std::string interim =
+        "HTTP/1.1 103 Early\r\nName: " + std::string(30'000, 'x') + "\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"HTTP/1.1 200 OK\r\nName: ", filler},
+        {"HTTP/1.1 200 ", filler},
+        {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", filler},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
+        {"", interim},
+        {"", okResponse("another", filler)}};
+    for (const auto &[start, repeated] : cases) {
+        const auto endsBefore = ends.size();
+        sendRequest();
+        accepted.back()->write(start);
+        std::string more;
+        while (more.size() < 256 * 1024)
+            more += repeated;
+        std::size_t sent = 0;
+        while (ends.size() == endsBefore && sent < kEndless) {
+            accepted.back()->write(more);
+            sent += more.size();
+            loop.runUntil(BootClock().now() + 5ms);
+        }
+        BOOST_TEST_CONTEXT("a response that starts with " << start << repeated.substr(0, 20))
+        {
+            BOOST_TEST_REQUIRE(ends.size() == endsBefore + 1);
+            BOOST_TEST(!ends.back().complete);
+            BOOST_TEST(sent < 8U * 1024 * 1024);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/telemetry/src/metrics.cpp
+++ b/libs/telemetry/src/metrics.cpp
@@ -1,4 +1,5 @@
 #include <heathergate/telemetry/metrics.h>
+#include <limits>
 
 #include <sstream>
 
@@ -68,6 +69,7 @@
 auto Metrics::render() const -> std::string
 {
     std::ostringstream out;
+    out.precision(std::numeric_limits<double>::digits10);
     for (const auto &[name, series] : m_counters)
         renderSimple(out, "counter", name, series);
     for (const auto &[name, series] : m_gauges)
--- a/libs/telemetry/test/telemetry_test.cpp
+++ b/libs/telemetry/test/telemetry_test.cpp
@@ -34,10 +34,11 @@
     metrics.count("requests_total", {{"customer", "a\"b"}});
     metrics.count("requests_total", {{"customer", "a\"b"}}, 2);
     metrics.set("revision", {}, 7);
+    metrics.count("bytes_total", {}, 123'456'789);
     metrics.observe("seconds", {{"class", "0"}}, 3ms);
     const auto text = metrics.render();
     for (const auto *line :
-         {"requests_total{customer=\"a\\\"b\"} 3\n", "revision 7\n",
+         {"requests_total{customer=\"a\\\"b\"} 3\n", "revision 7\n", "bytes_total 123456789\n",
           "seconds_bucket{class=\"0\",le=\"0.002\"} 0\n",
           "seconds_bucket{class=\"0\",le=\"0.005\"} 1\n",
           "seconds_bucket{class=\"0\",le=\"+Inf\"} 1\n", "seconds_count{class=\"0\"} 1\n"})
