Play histories in the soak and describe them for operators

Change: turns of the soak's programs continue conversations, also of an earlier program; upstreams check the earlier turns byte for byte, and a denied turn is a violation. explain describes reads and writes of histories.

--- a/apps/heathergate/explain_command.cpp
+++ b/apps/heathergate/explain_command.cpp
@@ -124,9 +124,25 @@
     return std::string(info.name) + " (" + code + "): " + std::string(info.meaning);
 }
 
+/// Describes a line of the gateway about the earlier turns of a request, or its own turn.
+auto historyDescription(const LogLine &line) -> std::string
+{
+    static const std::map<std::string, std::string> kOutcomes{
+        {"0", "The earlier turns were read"},
+        {"1", "So many replicas lack the named turn that it does not exist"},
+        {"2", "The turn is on enough disks"},
+        {"3", "The replicas did not answer in time or could not tell"},
+    };
+    const auto found = kOutcomes.find(line.value("outcome"));
+    const auto text = found == kOutcomes.end() ? std::string("History") : found->second;
+    return text + ", " + line.value("total_ms") + " ms after the request arrived.";
+}
+
 auto description(const LogLine &line) -> std::string
 {
     const auto event = line.value("event");
+    if (line.value("part") == "history")
+        return historyDescription(line);
     if (event == "sent")
         return "Attempt " + line.value("try") + " was sent to upstream " + line.value("upstream")
                + " after " + line.value("waited_ms") + " ms; " + line.value("left_ms")
@@ -146,7 +162,7 @@
         return "The request ended as '" + line.value("outcome") + "' after "
                + line.value("total_ms") + " ms and " + line.value("tries") + " attempts.";
     if (event == "event_out_of_order")
-        return "Event " + line.value("event")
+        return "Event " + line.value("number")
                + " did not follow the previous event; the stream was resumed "
                  "at another upstream.";
     return event + ".";
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -21,6 +21,9 @@
 constexpr int kMaxTurns = 6;
 constexpr std::uint64_t kMaxEvents = 9;
 constexpr std::uint64_t kMaxBodyBytes = 4000;
+/// Share of programs that continue the conversation of the program before.
+constexpr double kContinueShare = 0.5;
+constexpr std::size_t kMaxConversationBytes = 100'000;
 
 auto retryAfter(const net::HttpHead &head) -> std::optional<Duration>
 {
@@ -61,9 +64,14 @@
 {
     if (m_finishing)
         return;
+    auto conversation = std::move(m_program.conversation);
     m_program = {};
     m_program.name = m_settings.name + "-p" + std::to_string(++m_programs);
     m_program.account = m_accounts();
+    // Some programs continue the conversation of an earlier one.
+    if (conversation.customer == m_program.account.name
+        && conversation.content.size() < kMaxConversationBytes && m_random.unit() < kContinueShare)
+        m_program.conversation = std::move(conversation);
     m_program.turnsLeft = 1 + static_cast<int>(m_random.below(kMaxTurns));
     m_program.maxTurnTokens = Upstream::kTokensPerEvent * static_cast<std::int64_t>(kMaxEvents);
     // Some programs get a budget that their turns can exceed.
@@ -111,6 +119,10 @@
     issued.target = targetOf(kind);
     if (kind != RequestKind::Idempotent)
         issued.body = std::string(m_random.below(kMaxBodyBytes), 'b');
+    if (kind == RequestKind::Turn) {
+        issued.previousTurn = m_program.conversation.lastTurn;
+        issued.history = m_program.conversation.content;
+    }
     m_exchange.cancels = m_random.unit() < m_settings.cancelShare;
     chooseGateway();
 }
@@ -157,6 +169,8 @@
     net::appendHeader(out, header::kProgram, m_program.name);
     net::appendHeader(out, header::kFinishIn, "5000");
     if (isTurn) {
+        if (!issued.previousTurn.empty())
+            net::appendHeader(out, header::kPreviousTurn, issued.previousTurn);
         net::appendHeader(out, header::kTokenBudget, std::to_string(m_program.budget));
         net::appendHeader(out, header::kTokenUsage,
                           "100," + std::to_string(m_program.maxTurnTokens));
@@ -179,6 +193,7 @@
     m_exchange.head = {};
     m_exchange.body.clear();
     m_exchange.events.reset();
+    m_exchange.output.clear();
     m_exchange.lastEvent = 0;
     m_observations.issued(issued);
     m_current = ++m_lastId;
@@ -228,6 +243,7 @@
         m_observations.eventReceived(issued.id, m_exchange.lastEvent, number, data,
                                      Upstream::eventData(issued.target, number) + "\n\n");
         m_exchange.lastEvent = number;
+        m_exchange.output += fleet::eventData(event.bytes) + '\n';
         m_observations.tokensReceived(m_program.name, Upstream::kTokensPerEvent,
                                       m_program.budget + m_program.maxTurnTokens);
     }
@@ -265,6 +281,11 @@
         issued.kind == RequestKind::Turn && end.complete && head.status == 200;
     if (isCompleteStream && m_exchange.lastEvent != Upstream::eventCount(issued.target))
         m_observations.streamTruncated(issued.id, m_exchange.lastEvent);
+    if (isCompleteStream)
+        continueConversation();
+    constexpr int kNotFound = 404;
+    if (head.status == kNotFound && !issued.previousTurn.empty())
+        m_observations.turnDenied(issued.id, issued.previousTurn);
     if (!end.complete && end.connected && m_observations.hasRun(issued.id)
         && m_stoppedGracefully(issued.gateway, issued.sentAt))
         m_observations.interruptedByGracefulStop(issued.id, issued.gateway);
@@ -280,6 +301,14 @@
         after(kThinkTime, [this] { nextStep(); });
 }
 
+auto Caller::continueConversation() -> void
+{
+    auto &conversation = m_program.conversation;
+    conversation.customer = m_exchange.issued.customer;
+    conversation.lastTurn = m_exchange.issued.id;
+    conversation.content += m_exchange.issued.body + m_exchange.output;
+}
+
 /// Returns the delay before a retry; `std::nullopt` if the request must not be retried.
 auto Caller::retryPause() const -> std::optional<Duration>
 {
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -52,6 +52,13 @@
     static constexpr const char *kRunsOncePrefix = "/pay/";
 
 private:
+    /// The last turn that was answered completely, and the content of its chain.
+    struct Conversation
+    {
+        std::string customer;
+        std::string lastTurn;
+        std::string content;
+    };
     struct Program
     {
         std::string name;
@@ -60,6 +67,7 @@
         int turn = 0;
         std::int64_t budget = 0;
         std::int64_t maxTurnTokens = 0;
+        Conversation conversation;
     };
     struct Exchange
     {
@@ -67,6 +75,8 @@
         int triesLeft = 0;
         net::HttpHead head;
         std::string body;
+        /// Data of the received events, each followed by a line feed.
+        std::string output;
         fleet::EventSplitter events;
         std::uint64_t lastEvent = 0;
         bool cancels = false;
@@ -83,6 +93,7 @@
     auto takeEvents(std::string_view bytes) -> void;
     auto ended(net::OutgoingId id, net::OutgoingResult end) -> void;
     auto requestEnded(const net::OutgoingResult &end) -> void;
+    auto continueConversation() -> void;
     [[nodiscard]] auto retryPause() const -> std::optional<Duration>;
     auto requestDirectory() -> void;
     auto chooseGateway() -> void;
--- a/soak/observations.cpp
+++ b/soak/observations.cpp
@@ -58,9 +58,16 @@
     if (issued.kind == RequestKind::RunsOnce && runs > 1)
         reportViolation("at most one execution", run.id + " was executed " + std::to_string(runs)
                                                      + " times, last at " + run.upstream.value);
-    if (run.method != issued.method || run.target != issued.target || run.body != issued.body)
+    if (run.method != issued.method || run.target != issued.target)
         reportViolation("request forwarded unchanged",
                         run.id + ": " + run.method + " " + run.target);
+    if (run.body != issued.history + issued.body)
+        reportViolation(issued.previousTurn.empty() ? "request forwarded unchanged"
+                                                    : "history complete and unchanged",
+                        run.id + ": " + std::to_string(run.body.size()) + " bytes in place of "
+                            + std::to_string(issued.history.size()) + " + "
+                            + std::to_string(issued.body.size()) + ", after '" + issued.previousTurn
+                            + "'");
     if (run.customer != issued.customer)
         reportViolation("customer matches the key", run.id + " was executed for '" + run.customer
                                                         + "', sent by '" + issued.customer + "'");
@@ -155,6 +162,11 @@
         reportViolation("events of the request", id + ": " + data);
 }
 
+auto Observations::turnDenied(const std::string &id, const std::string &previousTurn) -> void
+{
+    reportViolation("history kept", id + ": turn '" + previousTurn + "' was denied");
+}
+
 auto Observations::streamTruncated(const std::string &id, std::uint64_t events) -> void
 {
     reportViolation("truncated stream not reported as complete",
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -33,6 +33,9 @@
     std::string body;
     InstanceId gateway;
     TimePoint sentAt{};
+    /// The turn that this one continues, and the content that precedes the body at the upstream.
+    std::string previousTurn;
+    std::string history;
 };
 
 /// The start of an execution, recorded by an upstream.
@@ -129,6 +132,8 @@
     /// 0.
     auto eventReceived(const std::string &id, std::uint64_t last, std::uint64_t event,
                        const std::string &data, const std::string &expected) -> void;
+    /// Checks that a turn was not refused because the turn that it continues is unknown.
+    auto turnDenied(const std::string &id, const std::string &previousTurn) -> void;
     /// Reports a stream that ended as complete without its last event.
     auto streamTruncated(const std::string &id, std::uint64_t events) -> void;
     /// Reports a request that a gateway's graceful stop interrupted during its execution.
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -34,6 +34,7 @@
     result.targetGap = std::chrono::milliseconds(150);
     result.maxAttempts = kind == fleet::RouteKind::Unsafe ? 1 : 2;
     result.isResumable = kind == fleet::RouteKind::Stream;
+    result.keepsHistory = kind == fleet::RouteKind::Stream;
     result.retention = std::chrono::seconds(60);
     result.targets.push_back({fleet::ServiceId(service), 1});
     return result;
