--- a/libs/history/include/heathergate/history/history_replica.h
+++ b/libs/history/include/heathergate/history/history_replica.h
@@ -52,8 +52,8 @@
 class HistoryReplica
 {
 public:
-    HistoryReplica(ReplicaSettings settings, RecoveredTurns recovered, telemetry::EventLog &log,
-                   telemetry::Metrics &metrics, TimePoint now);
+    HistoryReplica(ReplicaSettings settings, const RecoveredTurns &recovered,
+                   telemetry::EventLog &log, telemetry::Metrics &metrics, TimePoint now);
     HistoryReplica(const HistoryReplica &) = delete;
     auto operator=(const HistoryReplica &) -> HistoryReplica & = delete;
 
@@ -121,7 +121,7 @@
         // Ignores replies that only clients handle.
     }
 
-    auto store(TimePoint now, fb::TurnT turn) -> PendingTurn &;
+    auto store(const fb::TurnT &turn) -> PendingTurn &;
     auto turnDurable(TimePoint now, const TurnDurable &event) -> void;
     auto moveFailed(TimePoint now, const MoveFailed &event) -> void;
     auto turnsRead(TimePoint now, const TurnsRead &event) -> void;
--- a/libs/history/src/history_replica.cpp
+++ b/libs/history/src/history_replica.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-HistoryReplica::HistoryReplica(ReplicaSettings settings, RecoveredTurns recovered,
+HistoryReplica::HistoryReplica(ReplicaSettings settings, const RecoveredTurns &recovered,
                                telemetry::EventLog &log, telemetry::Metrics &metrics, TimePoint now)
     : m_settings(std::move(settings))
     , m_log(log)
@@ -39,7 +39,7 @@
     , m_currentSegment(recovered.currentSegment)
     , m_nextReclaim(now + kReclaimInterval)
 {
-    for (auto &turn : recovered.turns)
+    for (const auto &turn : recovered.turns)
         m_index.insert(turn.key, turn.previous, turn.location, turn.digest,
                        turn.storedAt + turn.retention + kExpiryMargin);
 }
@@ -113,10 +113,10 @@
         return;
     }
     message.turn->storedAt = wallTime(now).time_since_epoch().count();
-    store(now, std::move(*message.turn)).waiting.emplace_back(from, message.request);
+    store(*message.turn).waiting.emplace_back(from, message.request);
 }
 
-auto HistoryReplica::store(TimePoint, fb::TurnT turn) -> PendingTurn &
+auto HistoryReplica::store(const fb::TurnT &turn) -> PendingTurn &
 {
     const auto number = ++m_lastStep;
     auto &pending = m_pendingTurns[number];
@@ -315,7 +315,7 @@
     for (auto &turn : message.turns) {
         const auto key = fromTable(turn->key);
         if (!holds(key) && !m_pendingByKey.contains(key))
-            store(now, std::move(*turn));
+            store(*turn);
     }
     updateCompleteness(now);
 }
--- a/libs/history/test/history_fleet.h
+++ b/libs/history/test/history_fleet.h
@@ -57,8 +57,8 @@
         recovered.currentSegment = turnLog->currentSegment();
         host.turnLog = std::make_unique<TurnLog<testing::FakeFiles>>(std::move(*turnLog));
         ReplicaSettings settings{ReplicaId(replica), InstanceId(instance), ++m_boots, {}};
-        host.replica = std::make_unique<HistoryReplica>(settings, std::move(recovered), m_log,
-                                                        m_metrics, m_now);
+        host.replica =
+            std::make_unique<HistoryReplica>(settings, recovered, m_log, m_metrics, m_now);
         host.replica->setReplicas(m_now, m_set);
     }
 
--- a/libs/node/src/history_host.cpp
+++ b/libs/node/src/history_host.cpp
@@ -34,8 +34,8 @@
     settings.instance = m_process.self();
     settings.boot = randomNumber() | 1U;
     settings.wallOffset = m_process.wallOffset();
-    m_replica = std::make_unique<history::HistoryReplica>(
-        std::move(settings), std::move(recovered->second), m_process.log(), m_metrics, loop.now());
+    m_replica = std::make_unique<history::HistoryReplica>(std::move(settings), recovered->second,
+                                                          m_process.log(), m_metrics, loop.now());
     m_disk = std::make_unique<history::TurnDisk>(
         *m_files, std::move(recovered->first),
         [this](std::vector<history::DiskEvent> events) {
