End a round of the event loop after half a millisecond

The leader answered tens of milliseconds late, slots of short calls stood empty, the queue grew (283 waiting, 36 running), and the load did not let it recover. Change: a round ends after 32 events or 500 us.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -316,6 +316,7 @@
 
     /// The consensus group as of the last committed change.
     consensus::Configuration m_committedGroup;
+    bool m_groupChanged = false;
     history::ReplicaSet m_replicas;
     HistoryProgress m_historyProgress;
 
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -156,6 +156,9 @@
     }
     for (const auto &entry : effects.committed)
         applyEntry(now, entry);
+    // A restarted leader applies old changes first, which must not be announced.
+    if (std::exchange(m_groupChanged, false))
+        updateReplicas(now);
     const auto leads = m_replica.role() == consensus::Role::Leader;
     if (leads != std::exchange(m_wasLeader, leads))
         leadershipChanged(now);
@@ -197,7 +200,7 @@
     if (entry.kind == consensus::EntryKind::Configuration) {
         if (auto group = decode<consensus::Configuration>(entry.payload)) {
             m_committedGroup = std::move(*group);
-            updateReplicas(now);
+            m_groupChanged = true;
         }
     }
     if (m_state.configuration().version() != version) {
--- a/libs/fleet/test/control_histories_test.cpp
+++ b/libs/fleet/test/control_histories_test.cpp
@@ -120,4 +120,24 @@
     BOOST_TEST((state() == RetireState::Succeeded));
 }
 
+BOOST_AUTO_TEST_CASE(aLeaderThatReplaysOldChangesOfTheGroupAnnouncesOnlyTheLast)
+{
+    Fleet fleet;
+    const auto lost = otherThan(fleet.waitForLeader());
+    fleet.run(1s);
+    fleet.restartWiped(lost);
+    fleet.run(6s);
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.kill(Fleet::nameOf(i));
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.restart(Fleet::nameOf(i));
+    fleet.waitForLeader();
+    fleet.run(2s);
+    const auto &set = fleet.node(fleet.leader()).historyReplicas();
+    BOOST_TEST(set.members.size() == 3U);
+    BOOST_TEST(set.find(history::ReplicaId(lost)) == nullptr);
+    // The low bits count the sets that this leader has announced before.
+    BOOST_TEST((set.version & 0xFFFFFU) <= 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -12,8 +12,10 @@
 /// Maximum wait of one poll; bounds the delay after a lost wake-up.
 constexpr Duration kMaxPollInterval = std::chrono::seconds(1);
 
-/// Socket events that are handled before timers and the end of the round get their turn.
-constexpr int kMaxEventsPerRound = 256;
+/// Socket events, and time, after which a round ends. What its handlers write is sent at its end,
+/// so that long rounds would delay every answer.
+constexpr int kMaxEventsPerRound = 32;
+constexpr Duration kMaxRoundTime = std::chrono::microseconds(500);
 /// Handles that sockets leave to files and to the reactor itself.
 constexpr int kReservedHandles = 64;
 /// Bounds the tables of the reactor, which grow with the limit of the process.
@@ -108,7 +110,7 @@
     m_isWaiting = true;
     // The reactor handles one event in each call.
     for (int events = 0; events < kMaxEventsPerRound; ++events) {
-        if (m_reactor.handle_events(timeout) <= 0)
+        if (m_reactor.handle_events(timeout) <= 0 || m_clock.now() - m_now > kMaxRoundTime)
             break;
         timeout = ACE_Time_Value::zero;
     }
--- a/libs/net/test/event_loop_test.cpp
+++ b/libs/net/test/event_loop_test.cpp
@@ -104,4 +104,39 @@
         client->close();
 }
 
+BOOST_FIXTURE_TEST_CASE(aRoundEndsSoonAlsoWhileManySocketsAreReady, ListenerFixture)
+{
+    constexpr int kConnections = 200;
+    std::vector<std::shared_ptr<TcpStream>> clients;
+    for (int i = 0; i < kConnections; ++i)
+        clients.push_back(TcpStream::connect(loop, address, 5s));
+    for (int i = 0; i < 100 && accepted.size() < kConnections; ++i)
+        loop.runUntil(BootClock().now() + 10ms);
+    BOOST_TEST_REQUIRE(accepted.size() == kConnections);
+    int handled = 0;
+    int mostInOneRound = 0;
+    int handledBefore = 0;
+    for (const auto &stream : accepted)
+        stream->setHandlers({{},
+                             [&](std::string_view) {
+                                 ++handled;
+                                 std::this_thread::sleep_for(200us);
+                             },
+                             {},
+                             {}});
+    loop.onRoundEnd([&] {
+        mostInOneRound = std::max(mostInOneRound, handled - handledBefore);
+        handledBefore = handled;
+    });
+    for (const auto &client : clients)
+        client->write("x");
+    for (int i = 0; i < 100 && handled < kConnections; ++i)
+        loop.runUntil(BootClock().now() + 10ms);
+    BOOST_TEST(handled == kConnections);
+    // Answers are sent at the end of a round, so that they do not wait for all the others.
+    BOOST_TEST(mostInOneRound <= 10);
+    for (const auto &client : clients)
+        client->close();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
