--- a/libs/net/include/heathergate/net/tcp_stream.h
+++ b/libs/net/include/heathergate/net/tcp_stream.h
@@ -86,11 +86,9 @@
     }
     auto handle_input(ACE_HANDLE) -> int override;
     auto handle_output(ACE_HANDLE) -> int override;
-    auto handle_close(ACE_HANDLE, ACE_Reactor_Mask) -> int override;
 
     auto setUserTimeout(Duration timeout) -> void;
     auto updateInterest() -> void;
-    auto unregister() -> void;
     auto flush() -> void;
     auto fail(bool clean) -> void;
 
@@ -102,7 +100,6 @@
     bool m_hasWritten = false;
     bool m_flushScheduled = false;
     ACE_Reactor_Mask m_interest = ACE_Event_Handler::NULL_MASK;
-    bool m_isRegistered = false;
     std::string m_output;
     /// Bytes of `m_output` that were written to the socket.
     std::size_t m_written = 0;
--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -1,9 +1,8 @@
 #include <heathergate/net/event_loop.h>
 
-#include <ace/Dev_Poll_Reactor.h>
-#include <algorithm>
+#include <ace/Select_Reactor.h>
 #include <ctime>
-#include <sys/resource.h>
+#include <sys/select.h>
 
 namespace heathergate::net {
 
@@ -12,23 +11,9 @@
 /// Maximum wait of one poll; bounds the delay after a lost wake-up.
 constexpr Duration kMaxPollInterval = std::chrono::seconds(1);
 
-/// Socket events, and time, after which a round ends. What its handlers write is sent at its end,
-/// so that long rounds would delay every answer.
-constexpr int kMaxEventsPerRound = 32;
-constexpr Duration kMaxRoundTime = std::chrono::microseconds(500);
-/// Handles that sockets leave to files and to the reactor itself.
-constexpr int kReservedHandles = 64;
-/// Bounds the tables of the reactor, which grow with the limit of the process.
-constexpr int kMaxReactorHandles = 65'536;
-
-/// Returns the number of handles that the process may open.
-auto handleLimit() -> int
-{
-    struct rlimit limit = {};
-    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > kMaxReactorHandles)
-        return kMaxReactorHandles;
-    return static_cast<int>(limit.rlim_cur);
-}
+/// The descriptor sets of the select reactor hold handles below FD_SETSIZE, of which the last 8 are
+/// left unused.
+constexpr int kHandleLimit = FD_SETSIZE - 8;
 
 } // namespace
 
@@ -42,8 +27,8 @@
 
 EventLoop::EventLoop()
     : m_now(m_clock.now())
-    , m_maxHandles(std::max(handleLimit() - kReservedHandles, kReservedHandles))
-    , m_reactor(new ACE_Dev_Poll_Reactor(static_cast<size_t>(handleLimit())), true)
+    , m_maxHandles(kHandleLimit)
+    , m_reactor(new ACE_Select_Reactor, true)
 {
 }
 
@@ -108,12 +93,7 @@
     const auto wait = next <= now ? Duration::zero() : std::min(kMaxPollInterval, next - now);
     ACE_Time_Value timeout(0, static_cast<suseconds_t>(wait.count()));
     m_isWaiting = true;
-    // The reactor handles one event in each call.
-    for (int events = 0; events < kMaxEventsPerRound; ++events) {
-        if (m_reactor.handle_events(timeout) <= 0 || m_clock.now() - m_now > kMaxRoundTime)
-            break;
-        timeout = ACE_Time_Value::zero;
-    }
+    m_reactor.handle_events(timeout);
     m_isWaiting = false;
 }
 
