Show the unsent output to peers and the size of the log

Change: part=peers event=backlog from 1 MiB on, each time it has doubled; the metric heathergate_peer_backlog_bytes; the bytes of the entry and of the log on configuration_in_force. No logic changes.

--- a/libs/consensus/include/heathergate/consensus/internal/entry_log.h
+++ b/libs/consensus/include/heathergate/consensus/internal/entry_log.h
@@ -47,8 +47,14 @@
     /// Returns the entries starting at `from` that fit in `maxBytes`, but at least one if any
     /// exists.
     [[nodiscard]] auto slice(Index from, std::size_t maxBytes) const -> std::vector<Entry>;
+    /// Returns the bytes of the payloads of all entries in memory.
+    [[nodiscard]] auto bytes() const -> std::size_t
+    {
+        return m_bytes;
+    }
 
 private:
+    std::size_t m_bytes = 0;
     Index m_baseIndex = 0;
     Term m_baseTerm = 0;
     GroupTime m_baseTime{};
--- a/libs/consensus/include/heathergate/consensus/replica.h
+++ b/libs/consensus/include/heathergate/consensus/replica.h
@@ -84,6 +84,11 @@
     {
         return m_configuration;
     }
+    /// Returns the bytes of the entries that are held in memory.
+    [[nodiscard]] auto logBytes() const -> std::size_t
+    {
+        return m_log.bytes();
+    }
     [[nodiscard]] auto groupTime(TimePoint now) const -> GroupTime
     {
         return m_clock.at(now);
--- a/libs/consensus/src/entry_log.cpp
+++ b/libs/consensus/src/entry_log.cpp
@@ -5,6 +5,7 @@
 auto EntryLog::reset(Index index, Term term, GroupTime time) -> void
 {
     m_entries.clear();
+    m_bytes = 0;
     m_baseIndex = index;
     m_baseTerm = term;
     m_baseTime = time;
@@ -12,13 +13,16 @@
 
 auto EntryLog::append(Entry entry) -> void
 {
+    m_bytes += entry.payload.size();
     m_entries.push_back(std::move(entry));
 }
 
 auto EntryLog::truncateFrom(Index from) -> void
 {
-    while (!m_entries.empty() && m_entries.back().index >= from)
+    while (!m_entries.empty() && m_entries.back().index >= from) {
+        m_bytes -= m_entries.back().payload.size();
         m_entries.pop_back();
+    }
 }
 
 auto EntryLog::discardUpTo(Index upTo) -> void
@@ -27,6 +31,7 @@
         m_baseIndex = m_entries.front().index;
         m_baseTerm = m_entries.front().term;
         m_baseTime = m_entries.front().time;
+        m_bytes -= m_entries.front().payload.size();
         m_entries.pop_front();
     }
 }
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -205,7 +205,10 @@
     }
     if (m_state.configuration().version() != version) {
         m_log.add(now, telemetry::LogImportance::Important, "state", "configuration_in_force",
-                  {{"version", m_state.configuration().version()}, {"before", version}});
+                  {{"version", m_state.configuration().version()},
+                   {"before", version},
+                   {"entry_bytes", entry.payload.size()},
+                   {"log_bytes", m_replica.logBytes()}});
         m_dispatcher.setUpstreams(now, m_state.upstreams(), m_state.configuration());
         pushFeeds(now, true);
     }
--- a/libs/net/include/heathergate/net/peer_links.h
+++ b/libs/net/include/heathergate/net/peer_links.h
@@ -33,6 +33,16 @@
     /// Sends a message to the instance `to` that listens at `address`.
     auto send(const InstanceId &to, const Endpoint &address, const std::string &body) -> void;
 
+    /// Unsent output of all connections.
+    struct Backlog
+    {
+        std::size_t bytes = 0;
+        /// The peer with the most unsent output, and its bytes.
+        InstanceId largestPeer;
+        std::size_t largestBytes = 0;
+    };
+    [[nodiscard]] auto backlog() const -> Backlog;
+
 private:
     class Link;
 
--- a/libs/net/src/peer_links.cpp
+++ b/libs/net/src/peer_links.cpp
@@ -53,8 +53,10 @@
     auto send(const std::string &body) -> void
     {
         if (!m_session.isEstablished()) {
-            if (m_queued.size() < kMaxQueuedMessages)
+            if (m_queued.size() < kMaxQueuedMessages) {
                 m_queued.push_back(body);
+                m_queuedBytes += body.size();
+            }
             return;
         }
         m_session.send(body);
@@ -83,6 +85,11 @@
     {
         return m_session.isEstablished();
     }
+    /// Returns the bytes that wait to be written to the socket.
+    [[nodiscard]] auto unsentBytes() const -> std::size_t
+    {
+        return m_queuedBytes + (m_stream ? m_stream->pendingOutput() : 0);
+    }
     [[nodiscard]] auto isUnresponsive(TimePoint now, Duration timeout) const -> bool
     {
         return m_unansweredSince && now - *m_unansweredSince > timeout;
@@ -101,6 +108,7 @@
         if (!wasEstablished && m_session.isEstablished()) {
             m_links.m_loop.cancel(std::exchange(m_openTimer, 0));
             m_links.established(*this);
+            m_queuedBytes = 0;
             for (const auto &body : std::exchange(m_queued, {}))
                 send(body);
         }
@@ -116,6 +124,7 @@
     PeerSession m_session;
     std::shared_ptr<TcpStream> m_stream;
     std::vector<std::string> m_queued;
+    std::size_t m_queuedBytes = 0;
     /// Time of the first message that was sent after the last byte from the peer; empty if there is
     /// none.
     std::optional<TimePoint> m_unansweredSince;
@@ -168,6 +177,20 @@
     link->send(body);
 }
 
+auto PeerLinks::backlog() const -> Backlog
+{
+    Backlog total;
+    for (const auto &link : m_links) {
+        const auto bytes = link->unsentBytes();
+        total.bytes += bytes;
+        if (bytes <= total.largestBytes)
+            continue;
+        total.largestPeer = link->peer();
+        total.largestBytes = bytes;
+    }
+    return total;
+}
+
 auto PeerLinks::established(Link &link) -> void
 {
     const auto opening = m_opening.find(link.peer());
--- a/libs/node/include/heathergate/node/process.h
+++ b/libs/node/include/heathergate/node/process.h
@@ -69,10 +69,14 @@
     [[nodiscard]] auto seeds() const -> std::vector<InstanceId>;
 
 private:
+    /// Unsent bytes to other instances from which on they are logged.
+    static constexpr std::size_t kMinReportedBacklogBytes = 1024 * 1024;
+
     auto roundEnded() -> void;
     auto reload(std::string_view reason) -> void;
     auto checkFile() -> void;
     auto reportRefusedHandles() -> void;
+    auto checkBacklog() -> void;
     auto flushLog() -> void;
     auto openMetrics() -> Result<void>;
 
@@ -92,6 +96,9 @@
     TimePoint m_wakeTime = TimePoint::max();
     /// Connections refused for lack of handles, as last logged.
     std::uint64_t m_reportedRefusals = 0;
+    /// Unsent bytes to other instances at which the next line is logged.
+    std::size_t m_nextBacklogReport = kMinReportedBacklogBytes;
+    TimePoint m_nextBacklogCheck{};
     bool m_flushScheduled = false;
     bool m_stopHandled = false;
     int m_status = 0;
--- a/libs/node/src/process.cpp
+++ b/libs/node/src/process.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t kMaxUnwrittenBytes = 256 * 1024;
 /// Interval at which the settings file is checked for changes.
 constexpr Duration kFileCheckInterval = std::chrono::seconds(2);
+/// Minimum time between two checks of the unsent output to other instances.
+constexpr Duration kBacklogCheckInterval = std::chrono::milliseconds(100);
 /// Time within which a peer must respond to a message before its connection counts as lost.
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(1200);
 
@@ -135,6 +137,8 @@
                         static_cast<double>(m_log.droppedLines()));
             metrics.set("heathergate_connections_refused_for_handles", {},
                         static_cast<double>(m_loop.refusedHandles()));
+            metrics.set("heathergate_peer_backlog_bytes", {},
+                        static_cast<double>(m_links->backlog().bytes));
             response.headers.add("Content-Type", "text/plain; version=0.0.4");
             response.body = metrics.render();
         } else {
@@ -182,6 +186,7 @@
     if (reloadRequested.exchange(false))
         reload("signal");
     const auto wake = m_hooks.onRound(m_loop.now());
+    checkBacklog();
     if (wake != m_wakeTime) {
         m_loop.cancel(m_wakeTimer);
         m_wakeTime = wake;
@@ -209,6 +214,24 @@
               {{"limit", m_loop.maxHandles()}, {"refused", refused}});
 }
 
+/// Logs the unsent output to other instances each time it has doubled, and once it is small again.
+auto Process::checkBacklog() -> void
+{
+    if (m_loop.now() < m_nextBacklogCheck)
+        return;
+    m_nextBacklogCheck = m_loop.now() + kBacklogCheckInterval;
+    const auto backlog = m_links->backlog();
+    const auto isReported = m_nextBacklogReport > kMinReportedBacklogBytes;
+    if (backlog.bytes < m_nextBacklogReport
+        && !(isReported && backlog.bytes < kMinReportedBacklogBytes / 2))
+        return;
+    m_nextBacklogReport = std::max(2 * backlog.bytes, kMinReportedBacklogBytes);
+    m_log.add(m_loop.now(), LogImportance::Important, "peers", "backlog",
+              {{"bytes", backlog.bytes},
+               {"largest_peer", backlog.largestPeer.value},
+               {"largest_bytes", backlog.largestBytes}});
+}
+
 auto Process::reload(std::string_view reason) -> void
 {
     auto content = readFile(m_file);
