Send gateways changes of the configuration in bounded pieces

Change: gateways are sent the difference to the version that they have in force (ConfigurationHistory), compressed, in pieces of at most 32 KiB, one at a time for each gateway, each after the last is confirmed, 512 KiB on their way to all of them; only the newest version is started. The decision is code of its own (ConfigurationSender), without network. Conclusion: bytes per change follow the change; memory of the leader does not depend on the number of gateways.

--- a/libs/core/include/heathergate/core/core.h
+++ b/libs/core/include/heathergate/core/core.h
@@ -1,7 +1,9 @@
 #pragma once
 
-/// Umbrella header of the core library: identifiers, time, result codes, hashing and rings.
+/// Umbrella header of the core library: identifiers, time, result codes, hashing, compression and
+/// rings.
 #include <heathergate/core/codec.h>
+#include <heathergate/core/compression.h>
 #include <heathergate/core/endpoint.h>
 #include <heathergate/core/hash.h>
 #include <heathergate/core/ids.h>
--- a/libs/fleet/include/heathergate/fleet/configuration.h
+++ b/libs/fleet/include/heathergate/fleet/configuration.h
@@ -30,6 +30,7 @@
     ServiceId service;
     double weight = 1;
 
+    auto operator==(const RouteTarget &) const -> bool = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(RouteTarget, service, weight)
 };
 
@@ -63,6 +64,7 @@
     /// turns are retained.
     Duration retention{};
 
+    auto operator==(const Route &) const -> bool = default;
     // Configurations that earlier versions stored lack the newest fields.
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(Route, name, host, pathPrefix, kind, timeout,
                                                 targetLatency, targetGap, priority, targets,
@@ -78,6 +80,7 @@
     /// Number of tokens in each event of a stream.
     int tokensPerEvent = 1;
 
+    auto operator==(const EngineLimits &) const -> bool = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(EngineLimits, memoryTokens, tokensPerEvent)
 };
 
@@ -89,6 +92,7 @@
     /// Set for a service whose upstreams are model engines.
     std::optional<EngineLimits> engine;
 
+    auto operator==(const Service &) const -> bool = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(Service, id, maxConnections, engine)
 };
 
@@ -103,6 +107,7 @@
     /// Requests allowed in a quota window in addition to the rate.
     double burst = 0;
 
+    auto operator==(const Customer &) const -> bool = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(Customer, id, keys, priority, ratePerSecond, burst)
 };
 
@@ -114,6 +119,7 @@
     Duration headTimeout = std::chrono::seconds(3);
     Duration idleTimeout = std::chrono::seconds(15);
 
+    auto operator==(const CallerLimits &) const -> bool = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(CallerLimits, maxHeadBytes, maxBodyBytes, headTimeout,
                                    idleTimeout)
 };
@@ -135,6 +141,8 @@
 /// and names the entry.
 [[nodiscard]] auto validate(const Configuration &configuration) -> Result<void>;
 
+struct ConfigurationChange;
+
 /// A configuration with indexes for the lookups of each request.
 class ActiveConfiguration
 {
@@ -142,6 +150,10 @@
     ActiveConfiguration() = default;
     explicit ActiveConfiguration(Configuration configuration);
 
+    /// Applies a change. Fails with `Code::OutOfOrder` if its base is another version, and changes
+    /// nothing then.
+    [[nodiscard]] auto apply(const ConfigurationChange &change) -> Result<void>;
+
     /// Returns the active version; 0 while there is none.
     [[nodiscard]] auto version() const -> std::uint64_t
     {
@@ -153,12 +165,22 @@
     }
     /// Returns the route of `host` with the longest prefix of `path`; null if there is none.
     [[nodiscard]] auto route(const std::string &host, std::string_view path) const -> const Route *;
+    /// Returns the route with exactly this host and prefix; null if there is none.
+    [[nodiscard]] auto routeAt(const std::string &host, std::string_view pathPrefix) const
+        -> const Route *;
     /// Returns the customer that a key belongs to; null if the key is unknown.
     [[nodiscard]] auto customerOf(const std::string &key) const -> const Customer *;
     [[nodiscard]] auto customer(const CustomerId &id) const -> const Customer *;
     [[nodiscard]] auto service(const ServiceId &id) const -> const Service *;
 
 private:
+    auto setRoute(const Route &route) -> void;
+    auto removeRoute(const std::string &host, const std::string &pathPrefix) -> void;
+    auto applyServices(const ConfigurationChange &change) -> void;
+    auto applyCustomers(const ConfigurationChange &change) -> void;
+    auto indexServices() -> void;
+    auto indexCustomers() -> void;
+
     Configuration m_configuration;
     std::unordered_map<std::string, std::map<std::string, std::size_t, std::less<>>> m_routes;
     std::unordered_map<std::string, std::size_t> m_customersByKey;
--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <heathergate/consensus/consensus.h>
+#include <heathergate/fleet/configuration_sender.h>
 #include <heathergate/fleet/dispatcher.h>
 #include <heathergate/fleet/leader_link.h>
 #include <heathergate/fleet/peer_frame.h>
@@ -211,11 +212,16 @@
     auto handle(TimePoint now, const InstanceId &from, fb::PresenceT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::FeedT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::RedirectT &message) -> void;
+    auto handle(TimePoint now, const InstanceId &from, fb::ConfigurationProgressT &message) -> void;
+    auto handle(TimePoint, const InstanceId &, fb::ConfigurationPieceT &) -> void {}
     auto sendPresence(TimePoint now) -> void;
     auto sendFeed(TimePoint now, const InstanceId &to) -> void;
     /// Notifies the known gateways that this instance leads.
     auto announceLeadership() -> void;
-    auto pushFeeds(TimePoint now, bool gateways) -> void;
+    /// Sends a feed to all instances of a role.
+    auto pushFeeds(TimePoint now, Role role) -> void;
+    /// Sends gateways what they lack of the configuration.
+    auto sendConfiguration(TimePoint now) -> void;
     auto redirect(const InstanceId &to) -> void;
     auto expireMembers(TimePoint now) -> void;
     auto gatewayList(TimePoint now) const -> std::vector<fb::GatewayAddressT>;
@@ -314,6 +320,8 @@
     /// Times since which voters have not been serving.
     std::map<consensus::ReplicaId, TimePoint> m_absentSince;
 
+    ConfigurationSender m_configurationSender;
+
     /// The consensus group as of the last committed change.
     consensus::Configuration m_committedGroup;
     bool m_groupChanged = false;
--- a/libs/fleet/include/heathergate/fleet/fleet_state.h
+++ b/libs/fleet/include/heathergate/fleet/fleet_state.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <heathergate/fleet/configuration.h>
+#include <heathergate/fleet/configuration_change.h>
 #include <heathergate/fleet/messages.h>
 
 #include <deque>
@@ -72,10 +72,10 @@
     {
         return m_configuration;
     }
-    /// Returns the configuration in the format that instances exchange; empty while there is none.
-    [[nodiscard]] auto configurationContent() const -> const std::string &
+    /// Returns the change that leads from a version, 0 for none, to the active configuration.
+    [[nodiscard]] auto changeSince(std::uint64_t version) const -> ConfigurationChange
     {
-        return m_content;
+        return m_history.since(version, m_configuration);
     }
     /// Returns the configuration in the format in which the operator sent it.
     [[nodiscard]] auto configurationDocument() const -> const std::string &
@@ -122,6 +122,7 @@
     auto removeExpired(GroupTime now) -> void;
 
     ActiveConfiguration m_configuration;
+    ConfigurationHistory m_history;
     std::string m_content;
     std::string m_document;
     std::map<UpstreamId, UpstreamRecord> m_upstreams;
--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <heathergate/fleet/configuration.h>
+#include <heathergate/fleet/configuration_change.h>
+#include <heathergate/fleet/configuration_sender.h>
 #include <heathergate/fleet/event_splitter.h>
 #include <heathergate/fleet/leader_link.h>
 #include <heathergate/fleet/peer_frame.h>
@@ -12,6 +13,9 @@
 
 namespace heathergate::fleet {
 
+/// Limit of the encoded size of a configuration.
+constexpr std::size_t kMaxConfigurationBytes = 32UL * 1024 * 1024;
+
 /// Identity of a gateway.
 struct GatewaySettings
 {
@@ -311,6 +315,7 @@
     // Messages of control instances.
     auto handle(TimePoint now, const InstanceId &from, fb::FeedT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::RedirectT &message) -> void;
+    auto handle(TimePoint now, const InstanceId &from, fb::ConfigurationPieceT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::GrantT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::RefusalT &message) -> void;
     template <typename Other>
@@ -321,7 +326,9 @@
     auto sendPresence(TimePoint now) -> void;
     auto noteLeaderLost(TimePoint now, std::string_view why) -> void;
     auto leaderFound(TimePoint now) -> void;
-    auto applyConfiguration(TimePoint now, const fb::FeedT &message) -> void;
+    /// Applies a change of the configuration, or logs that it cannot be read or applied.
+    auto applyChange(TimePoint now, const Result<ConfigurationChange> &change, std::uint64_t term)
+        -> void;
     auto sendToLeader(Message message) -> void;
 
     GatewaySettings m_settings;
@@ -329,6 +336,7 @@
     telemetry::EventLog &m_log;
     telemetry::Metrics m_metrics;
     ActiveConfiguration m_configuration;
+    ConfigurationReceiver m_configurationReceiver;
     std::map<CallerToken, Call> m_calls;
     std::unordered_map<AttemptId, CallerToken> m_byAttempt;
     std::unordered_map<std::uint64_t, CallerToken> m_byAdmission;
--- a/libs/fleet/src/configuration.cpp
+++ b/libs/fleet/src/configuration.cpp
@@ -1,4 +1,5 @@
 #include <heathergate/fleet/configuration.h>
+#include <heathergate/fleet/configuration_change.h>
 
 #include <set>
 
@@ -68,14 +69,118 @@
         const auto &route = m_configuration.routes[i];
         m_routes[route.host][route.pathPrefix] = i;
     }
+    indexServices();
+    indexCustomers();
+}
+
+auto ActiveConfiguration::apply(const ConfigurationChange &change) -> Result<void>
+{
+    if (change.base == 0) {
+        *this = ActiveConfiguration(Configuration{change.version, change.routes, change.services,
+                                                  change.customers,
+                                                  change.limits.value_or(CallerLimits())});
+        return {};
+    }
+    if (change.base != version())
+        return fail(Code::OutOfOrder, "the change has the base " + std::to_string(change.base)
+                                          + ", in force is " + std::to_string(version()));
+    for (const auto &[host, pathPrefix] : change.removedRoutes)
+        removeRoute(host, pathPrefix);
+    for (const auto &route : change.routes)
+        setRoute(route);
+    applyServices(change);
+    applyCustomers(change);
+    if (change.limits)
+        m_configuration.limits = *change.limits;
+    m_configuration.version = change.version;
+    return {};
+}
+
+auto ActiveConfiguration::setRoute(const Route &route) -> void
+{
+    auto &routes = m_configuration.routes;
+    const auto [found, isNew] = m_routes[route.host].try_emplace(route.pathPrefix, routes.size());
+    if (isNew)
+        routes.push_back(route);
+    else
+        routes[found->second] = route;
+}
+
+auto ActiveConfiguration::removeRoute(const std::string &host, const std::string &pathPrefix)
+    -> void
+{
+    const auto prefixes = m_routes.find(host);
+    if (prefixes == m_routes.end())
+        return;
+    const auto found = prefixes->second.find(pathPrefix);
+    if (found == prefixes->second.end())
+        return;
+    auto &routes = m_configuration.routes;
+    const auto index = found->second;
+    prefixes->second.erase(found);
+    if (prefixes->second.empty())
+        m_routes.erase(prefixes);
+    // The last route takes the place of the removed one.
+    if (index + 1 < routes.size()) {
+        routes[index] = std::move(routes.back());
+        m_routes[routes[index].host][routes[index].pathPrefix] = index;
+    }
+    routes.pop_back();
+}
+
+auto ActiveConfiguration::applyServices(const ConfigurationChange &change) -> void
+{
+    auto &services = m_configuration.services;
+    std::set<ServiceId> replaced(change.removedServices.begin(), change.removedServices.end());
+    for (const auto &service : change.services)
+        replaced.insert(service.id);
+    if (replaced.empty())
+        return;
+    std::erase_if(services, [&](const auto &item) { return replaced.contains(item.id); });
+    services.insert(services.end(), change.services.begin(), change.services.end());
+    indexServices();
+}
+
+auto ActiveConfiguration::applyCustomers(const ConfigurationChange &change) -> void
+{
+    auto &customers = m_configuration.customers;
+    std::set<CustomerId> replaced(change.removedCustomers.begin(), change.removedCustomers.end());
+    for (const auto &customer : change.customers)
+        replaced.insert(customer.id);
+    if (replaced.empty())
+        return;
+    std::erase_if(customers, [&](const auto &item) { return replaced.contains(item.id); });
+    customers.insert(customers.end(), change.customers.begin(), change.customers.end());
+    indexCustomers();
+}
+
+auto ActiveConfiguration::indexServices() -> void
+{
+    m_services.clear();
+    for (std::size_t i = 0; i < m_configuration.services.size(); ++i)
+        m_services[m_configuration.services[i].id] = i;
+}
+
+auto ActiveConfiguration::indexCustomers() -> void
+{
+    m_customers.clear();
+    m_customersByKey.clear();
     for (std::size_t i = 0; i < m_configuration.customers.size(); ++i) {
         const auto &customer = m_configuration.customers[i];
         m_customers[customer.id] = i;
         for (const auto &key : customer.keys)
             m_customersByKey[key] = i;
     }
-    for (std::size_t i = 0; i < m_configuration.services.size(); ++i)
-        m_services[m_configuration.services[i].id] = i;
+}
+
+auto ActiveConfiguration::routeAt(const std::string &host, std::string_view pathPrefix) const
+    -> const Route *
+{
+    const auto prefixes = m_routes.find(host);
+    if (prefixes == m_routes.end())
+        return nullptr;
+    const auto found = prefixes->second.find(pathPrefix);
+    return found == prefixes->second.end() ? nullptr : &m_configuration.routes[found->second];
 }
 
 auto ActiveConfiguration::route(const std::string &host, std::string_view path) const
--- a/libs/fleet/src/control_histories.cpp
+++ b/libs/fleet/src/control_histories.cpp
@@ -56,8 +56,8 @@
                {"copies", set.copies},
                {"term", m_replica.term()}});
     m_replicas = std::move(set);
-    pushFeeds(now, true);
-    pushFeeds(now, false);
+    pushFeeds(now, Role::Gateway);
+    pushFeeds(now, Role::Control);
 }
 
 auto ControlNode::historyProgressOf(const consensus::ReplicaId &replica) const -> HistoryProgress
--- a/libs/fleet/src/control_members.cpp
+++ b/libs/fleet/src/control_members.cpp
@@ -50,6 +50,8 @@
                    {"replica", message.replica}});
     member.presence = std::move(message);
     member.seenAt = now;
+    if (isRole(member.presence, Role::Gateway))
+        m_configurationSender.reported(from, member.presence.configurationVersion);
     sendFeed(now, from);
     // Many instances may change at the same time; the directory receives all changes in one feed.
     if (hasChanged || isNew || hasReconnected)
@@ -129,13 +131,6 @@
     fb::FeedT feed;
     feed.term = m_replica.term();
     feed.configurationVersion = m_state.configuration().version();
-    if (isRole(presence, Role::Gateway)
-        && presence.configurationVersion < m_state.configuration().version()) {
-        feed.configuration = toBytes(m_state.configurationContent());
-        // Sent once per version. If a gateway misses it, its next presence reports the older
-        // version, and the configuration is sent again.
-        member->second.presence.configurationVersion = m_state.configuration().version();
-    }
     if (isRole(presence, Role::Control)) {
         for (auto &gateway : gatewayList(now))
             feed.gateways.push_back(std::make_unique<fb::GatewayAddressT>(std::move(gateway)));
@@ -174,16 +169,36 @@
     }
 }
 
-auto ControlNode::pushFeeds(TimePoint now, bool gateways) -> void
+auto ControlNode::pushFeeds(TimePoint now, Role role) -> void
 {
     if (!isLeader(now))
         return;
     for (const auto &[id, member] : m_members) {
-        if (isRole(member.presence, gateways ? Role::Gateway : Role::Control))
+        if (isRole(member.presence, role))
             sendFeed(now, id);
     }
 }
 
+auto ControlNode::sendConfiguration(TimePoint now) -> void
+{
+    const auto source = [this](std::uint64_t base) {
+        return compress(encodeChange(m_state.changeSince(base)));
+    };
+    for (auto &piece : m_configurationSender.takePieces(now, source)) {
+        m_metrics.count("heathergate_configuration_bytes_sent_total", {},
+                        static_cast<double>(piece.message.bytes.size()));
+        piece.message.term = m_replica.term();
+        m_output.messages.push_back({piece.to, PeerFrame(Message(std::move(piece.message)))});
+    }
+}
+
+auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::ConfigurationProgressT &message)
+    -> void
+{
+    if (isLeader(now))
+        m_configurationSender.confirmed(from, message);
+}
+
 auto ControlNode::redirect(const InstanceId &to) -> void
 {
     fb::RedirectT message;
@@ -252,6 +267,7 @@
             m_dispatcher.dropGateway(now, id);
             std::erase_if(m_admissions,
                           [&](const auto &item) { return item.second.gateway == id; });
+            m_configurationSender.remove(id);
         }
         m_members.erase(id);
     }
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -56,7 +56,7 @@
     m_dispatcher.tick(now);
     if (now >= m_directoryPushAt) {
         m_directoryPushAt = TimePoint::max();
-        pushFeeds(now, false);
+        pushFeeds(now, Role::Control);
     }
     if (now < m_nextMaintenance)
         return;
@@ -76,8 +76,10 @@
 auto ControlNode::takeOutput(TimePoint now) -> ControlOutput
 {
     collect(now);
-    if (isLeader(now))
+    if (isLeader(now)) {
         takeDispatcherOutput(now);
+        sendConfiguration(now);
+    }
     flushProposals(now);
     collect(now);
     compactIfNeeded();
@@ -88,7 +90,8 @@
 {
     auto next = std::min(m_replica.nextDeadline(), m_nextPresence);
     if (m_wasServing) {
-        next = std::min({next, m_nextMaintenance, m_directoryPushAt});
+        next = std::min(
+            {next, m_nextMaintenance, m_directoryPushAt, m_configurationSender.nextDeadline()});
         if (!m_delayed.empty())
             next = std::min(next, m_delayed.begin()->first);
         next = std::min(next, m_dispatcher.nextDeadline(now));
@@ -210,7 +213,7 @@
                    {"entry_bytes", entry.payload.size()},
                    {"log_bytes", m_replica.logBytes()}});
         m_dispatcher.setUpstreams(now, m_state.upstreams(), m_state.configuration());
-        pushFeeds(now, true);
+        m_configurationSender.activate(m_state.configuration().version());
     }
     refreshUpstreams(now);
     const auto batch = m_inFlight.find(entry.index);
@@ -248,6 +251,8 @@
     m_admissions.clear();
     m_delayed.clear();
     m_members.clear();
+    m_configurationSender = ConfigurationSender();
+    m_configurationSender.activate(m_state.configuration().version());
     m_absentSince.clear();
     m_lastSequence.clear();
     m_pendingUse.clear();
--- a/libs/fleet/src/fleet_state.cpp
+++ b/libs/fleet/src/fleet_state.cpp
@@ -118,7 +118,10 @@
     auto configuration = decode<Configuration>(content);
     if (!configuration)
         return; // Cannot happen: the leader proposes only configurations that it has decoded.
-    m_configuration = ActiveConfiguration(std::move(*configuration));
+    const auto change = difference(m_configuration, *configuration);
+    m_history.record(change);
+    // The base is the active version, so that the change can always be applied.
+    static_cast<void>(m_configuration.apply(change));
     m_content = content;
     m_document = toText(command.document);
     m_retention = kMinRetention;
--- a/libs/fleet/src/gateway.cpp
+++ b/libs/fleet/src/gateway.cpp
@@ -112,7 +112,9 @@
     if (!isNew)
         return; // The sender is a leader that has been replaced.
     m_link.addCandidates(instanceIds(message.controls));
-    applyConfiguration(now, message);
+    if (message.configurationVersion > m_configuration.version() && !message.configuration.empty())
+        applyChange(now, decode<Configuration>(toText(message.configuration)).map(completeChange),
+                    message.term);
     announceReplicas(now, message);
     if (*isNew)
         leaderFound(now);
@@ -162,26 +164,52 @@
         m_effects.emplace_back(PeerOut{*m_link.leader(), PeerFrame(std::move(message))});
 }
 
-auto Gateway::applyConfiguration(TimePoint now, const fb::FeedT &message) -> void
+auto Gateway::handle(TimePoint now, const InstanceId &from, fb::ConfigurationPieceT &message)
+    -> void
 {
-    if (message.configuration.empty() || message.configurationVersion <= m_configuration.version())
-        return;
-    auto configuration = decode<Configuration>(toText(message.configuration));
-    if (!configuration) {
-        m_log.add(
-            now, LogImportance::Important, "fleet", "configuration_unreadable",
-            {{"version", message.configurationVersion}, {"detail", configuration.error().detail}});
+    const auto isNew = m_link.answered(now, from, message.term);
+    if (!isNew)
+        return; // The sender is a leader that has been replaced.
+    fb::ConfigurationProgressT progress;
+    progress.version = message.version;
+    const auto isUsable = message.version > m_configuration.version()
+                          && (message.base == 0 || message.base == m_configuration.version());
+    if (isUsable) {
+        const auto bytes = m_configurationReceiver.add(message);
+        const auto isComplete = !bytes || !bytes->empty();
+        if (!bytes)
+            m_log.add(now, LogImportance::Important, "fleet", "configuration_unreadable",
+                      {{"version", message.version}, {"detail", bytes.error().detail}});
+        else if (isComplete)
+            applyChange(now, decompress(*bytes, kMaxConfigurationBytes).and_then(decodeChange),
+                        message.term);
+        progress.received = isComplete ? message.size : m_configurationReceiver.received();
+    }
+    progress.inForce = m_configuration.version();
+    m_effects.emplace_back(PeerOut{from, PeerFrame(Message(progress))});
+    if (*isNew)
+        leaderFound(now);
+}
+
+auto Gateway::applyChange(TimePoint now, const Result<ConfigurationChange> &change,
+                          std::uint64_t term) -> void
+{
+    const auto before = m_configuration.version();
+    const auto applied = change.and_then(
+        [this](const ConfigurationChange &item) { return m_configuration.apply(item); });
+    if (!applied) {
+        m_log.add(now, LogImportance::Important, "fleet", "configuration_unreadable",
+                  {{"in_force", before}, {"detail", applied.error().detail}});
         return;
     }
     m_log.add(now, LogImportance::Important, "fleet", "configuration_in_force",
-              {{"version", configuration->version},
-               {"before", m_configuration.version()},
-               {"term", message.term},
-               {"routes", configuration->routes.size()}});
-    const auto wasEmpty = m_configuration.version() == 0;
-    m_configuration = ActiveConfiguration(std::move(*configuration));
+              {{"version", m_configuration.version()},
+               {"before", before},
+               {"term", term},
+               {"changed_routes", change->routes.size() + change->removedRoutes.size()},
+               {"routes", m_configuration.all().routes.size()}});
     m_effects.emplace_back(ConfigurationChanged{m_configuration.all().limits});
-    if (wasEmpty)
+    if (before == 0)
         m_link.requestPresenceNow(now); // Reports that the gateway is ready for callers.
 }
 
--- a/libs/fleet/src/messages.cpp
+++ b/libs/fleet/src/messages.cpp
@@ -29,6 +29,10 @@
         return Message(*refusal);
     if (auto *completion = body.AsCompletion())
         return Message(std::move(*completion));
+    if (auto *piece = body.AsConfigurationPiece())
+        return Message(std::move(*piece));
+    if (auto *progress = body.AsConfigurationProgress())
+        return Message(*progress);
     return fail(Code::BadFrame, "a message without body");
 }
 
--- a/libs/fleet/test/gateway_fixture.h
+++ b/libs/fleet/test/gateway_fixture.h
@@ -71,9 +71,17 @@
         fb::FeedT message;
         message.term = term;
         message.configurationVersion = version;
-        if (version != 0)
-            message.configuration = toBytes(encode(configuration(version)));
         m_gateway.receive(m_now, from, PeerFrame(Message(message)));
+        if (version == 0)
+            return;
+        const auto bytes = compress(encodeChange(completeChange(configuration(version))));
+        fb::ConfigurationPieceT piece;
+        piece.term = term;
+        piece.version = version;
+        piece.size = bytes.size();
+        piece.digest = hash64(bytes);
+        piece.bytes = toBytes(bytes);
+        m_gateway.receive(m_now, from, PeerFrame(Message(std::move(piece))));
     }
 
     auto request(const std::string &path, const std::optional<std::string> &key = "key")
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -6,7 +6,7 @@
     libace-dev libflatbuffers-dev libhttp-parser-dev libmicrohttpd-dev libcurl4-gnutls-dev
     libboost-log-dev libboost-program-options-dev libboost-test-dev
     libexpected-dev libtomlplusplus-dev nlohmann-json3-dev libxxhash-dev
-    librapidcheck-dev libgnutls28-dev libbenchmark-dev
+    librapidcheck-dev libgnutls28-dev libzstd-dev libbenchmark-dev
 )
 missing=()
 for package in "${packages[@]}"; do
