Bound the replicated log in bytes and write changes to it

A document over 2 MiB is refused with the reason, 413, before it is acknowledged. Tests: keepsTheLogInMemoryThatDoesNotGrowWithTheNumberOfChanges and bearsTheLargestConfigurationThatIsAccepted (133 members in virtual time), FleetStateTest/WhenALargeConfigurationChanges, two of the replica's limits.

--- a/libs/consensus/include/heathergate/consensus/internal/entry_log.h
+++ b/libs/consensus/include/heathergate/consensus/internal/entry_log.h
@@ -47,14 +47,26 @@
     /// Returns the entries starting at `from` that fit in `maxBytes`, but at least one if any
     /// exists.
     [[nodiscard]] auto slice(Index from, std::size_t maxBytes) const -> std::vector<Entry>;
+    /// Returns the bytes of the payloads of the entries after `from`, up to and including `to`.
+    /// Entries that are not in memory count nothing.
+    [[nodiscard]] auto bytesBetween(Index from, Index to) const -> std::size_t;
+    /// Returns the lowest index from which on the entries up to `to` have at most `maxBytes`; the
+    /// entry at that index itself is not counted.
+    [[nodiscard]] auto oldestOf(Index to, std::size_t maxBytes) const -> Index;
     /// Returns the bytes of the payloads of all entries in memory.
     [[nodiscard]] auto bytes() const -> std::size_t
     {
-        return m_bytes;
+        return m_ends.empty() ? 0 : m_ends.back() - m_discarded;
     }
 
 private:
-    std::size_t m_bytes = 0;
+    /// Returns the bytes of all payloads ever appended up to and including `index`.
+    [[nodiscard]] auto endOf(Index index) const -> std::size_t;
+
+    /// Bytes of the payloads that were discarded since the log was reset.
+    std::size_t m_discarded = 0;
+    /// For each entry, the bytes of all payloads up to and including it since the log was reset.
+    std::deque<std::size_t> m_ends;
     Index m_baseIndex = 0;
     Term m_baseTerm = 0;
     GroupTime m_baseTime{};
--- a/libs/consensus/include/heathergate/consensus/types.h
+++ b/libs/consensus/include/heathergate/consensus/types.h
@@ -216,13 +216,17 @@
     /// time.
     std::optional<TimePoint> processStart;
     /// Maximum size of the entries in one append request, unless a single entry is larger.
-    std::size_t maxAppendBytes = 1024 * 1024;
+    std::size_t maxAppendBytes = 256 * 1024;
+    /// Size of unacknowledged entries at which sending to a member pauses.
+    std::size_t maxBytesInFlight = 1024 * 1024;
     /// Number of unacknowledged entries at which sending to a member pauses.
     std::size_t maxEntriesInFlight = 8192;
-    std::size_t snapshotPieceBytes = 256 * 1024;
+    std::size_t snapshotPieceBytes = 64 * 1024;
     /// Entries retained before the position of a snapshot, so that followers that lag slightly can
     /// catch up without a snapshot transfer.
     std::size_t retainedEntries = 2048;
+    /// Limit of the size of the retained entries.
+    std::size_t retainedBytes = 2 * 1024 * 1024;
 };
 
 enum class Role { Follower, Candidate, Leader };
--- a/libs/consensus/src/replica.cpp
+++ b/libs/consensus/src/replica.cpp
@@ -144,8 +144,9 @@
     if (index >= m_log.firstIndex())
         meta.time = m_log.at(index).time;
     m_snapshot = Snapshot{meta, std::move(state)};
-    if (index > m_settings.retainedEntries)
-        m_log.discardUpTo(index - m_settings.retainedEntries);
+    const auto oldest = m_log.oldestOf(index, m_settings.retainedBytes);
+    const auto retained = std::min<Index>(m_settings.retainedEntries, index - oldest);
+    m_log.discardUpTo(index - retained);
     return meta;
 }
 
--- a/libs/consensus/src/replication.cpp
+++ b/libs/consensus/src/replication.cpp
@@ -122,7 +122,9 @@
     for (auto &[id, progress] : m_progress) {
         while (!progress.probing && progress.next <= m_log.lastIndex()
                && m_log.termAt(progress.next - 1)
-               && progress.next - progress.match <= m_settings.maxEntriesInFlight)
+               && progress.next - progress.match <= m_settings.maxEntriesInFlight
+               && m_log.bytesBetween(progress.match, progress.next - 1)
+                      < m_settings.maxBytesInFlight)
             sendAppend(now, id, progress, true);
     }
 }
--- a/libs/consensus/test/replica_test.cpp
+++ b/libs/consensus/test/replica_test.cpp
@@ -4,10 +4,7 @@
 
 using namespace std::chrono_literals;
 using heathergate::Random;
-using heathergate::consensus::Index;
-using heathergate::consensus::ReplicaId;
-using heathergate::consensus::Role;
-using heathergate::consensus::Settings;
+using namespace heathergate::consensus;
 using heathergate::testing::ConsensusGroup;
 using heathergate::testing::LinkFaults;
 
@@ -27,6 +24,33 @@
                        [&](const auto &entry) { return entry.payload == payload; });
 }
 
+/// Makes a replica the leader of a group of two whose other voter, `peer`, grants every vote and
+/// has the same log. Returns the time of the election.
+auto elect(Replica &replica, const ReplicaId &self, const ReplicaId &peer) -> heathergate::TimePoint
+{
+    const auto now = replica.nextDeadline();
+    replica.tick(now);
+    for (int step = 0; step < 8; ++step) {
+        if (replica.role() == Role::Leader)
+            replica.tick(now);
+        auto effects = replica.takeEffects(now);
+        for (const auto &write : effects.writes)
+            replica.synced(now, write.number);
+        const auto more = replica.takeEffects(now).messages;
+        effects.messages.insert(effects.messages.end(), more.begin(), more.end());
+        for (const auto &[from, to, message] : effects.messages) {
+            if (const auto *vote = std::get_if<VoteRequest>(&message))
+                replica.receive(now, {peer, self, VoteReply{vote->term, true, vote->preVote}});
+            if (const auto *append = std::get_if<AppendRequest>(&message))
+                replica.receive(now, {peer, self,
+                                      AppendReply{append->term, true,
+                                                  append->previousIndex + append->entries.size(),
+                                                  append->round}});
+        }
+    }
+    return now;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ReplicaTest)
@@ -353,6 +377,45 @@
     BOOST_TEST(group.violation() == "");
 }
 
+BOOST_AUTO_TEST_CASE(theLeaderRetainsEntriesUpToALimitOfBytes)
+{
+    Settings settings;
+    settings.retainedBytes = 10'000;
+    ConsensusGroup group(81, kThreeVoters, settings);
+    const auto leader = group.runUntilLeader(5s);
+    for (int i = 0; i < 50; ++i)
+        group.propose(std::string(1'000, 'x'));
+    group.run(1s);
+    group.compact(leader);
+    BOOST_TEST(group.replica(leader).logBytes() <= 10'000U);
+    BOOST_TEST(group.replica(leader).logBytes() >= 9'000U);
+    BOOST_TEST(group.violation() == "");
+}
+
+BOOST_AUTO_TEST_CASE(theLeaderPausesAtALimitOfUnacknowledgedBytes)
+{
+    Settings settings;
+    settings.maxAppendBytes = 2'000;
+    settings.maxBytesInFlight = 10'000;
+    const ReplicaId self("a");
+    const ReplicaId peer("b");
+    Replica leader(self, settings, Configuration{{self, peer}, {}}, {}, Random(1),
+                   heathergate::TimePoint(1h));
+    const auto now = elect(leader, self, peer);
+    BOOST_TEST_REQUIRE((leader.role() == Role::Leader));
+    for (int i = 0; i < 100; ++i)
+        BOOST_TEST_REQUIRE(leader.propose(now, std::string(1'000, 'x')).has_value());
+    std::size_t sent = 0;
+    for (const auto &envelope : leader.takeEffects(now).messages) {
+        if (const auto *request = std::get_if<AppendRequest>(&envelope.message)) {
+            for (const auto &entry : request->entries)
+                sent += entry.payload.size();
+        }
+    }
+    BOOST_TEST(sent >= 10'000U);
+    BOOST_TEST(sent <= 12'000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(UnderRandomFaults)
--- a/libs/fleet/include/heathergate/fleet/configuration.h
+++ b/libs/fleet/include/heathergate/fleet/configuration.h
@@ -141,6 +141,11 @@
 /// and names the entry.
 [[nodiscard]] auto validate(const Configuration &configuration) -> Result<void>;
 
+/// Limit of the size of the document in which an operator sends a configuration.
+constexpr std::size_t kMaxDocumentBytes = 2UL * 1024 * 1024;
+/// Limit of the encoded size of a configuration, which names each of its fields.
+constexpr std::size_t kMaxConfigurationBytes = 4 * kMaxDocumentBytes;
+
 struct ConfigurationChange;
 
 /// A configuration with indexes for the lookups of each request.
--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -36,6 +36,8 @@
     Duration quotaWindow = std::chrono::seconds(5);
     /// Log entries after which the state is stored as a snapshot.
     consensus::Index compactAfter = 2000;
+    /// Bytes of log entries after which the state is stored as a snapshot.
+    std::size_t compactAfterBytes = 4UL * 1024 * 1024;
 };
 
 /// Identifies a call of an operator, an upstream or a client of the directory until it is answered.
@@ -46,6 +48,8 @@
     Done,
     /// The request is not valid; nothing changed.
     Invalid,
+    /// The request is larger than this instance accepts; nothing changed.
+    TooLarge,
     /// Another instance leads; its control address may be given.
     Redirect,
     /// No instance can answer at present; whether the call takes effect is undetermined.
@@ -202,6 +206,8 @@
     // Replicated log.
     auto propose(CommandPtr command, bool urgent, CommitHandler handler = {}) -> void;
     auto flushProposals(TimePoint now) -> void;
+    /// Adds the pending configuration to a batch, as the difference to the active one.
+    auto addPendingConfiguration(fb::CommandBatchT &batch) -> void;
     auto collect(TimePoint now) -> void;
     auto applyEntry(TimePoint now, const consensus::Entry &entry) -> void;
     auto leadershipChanged(TimePoint now) -> void;
@@ -285,6 +291,7 @@
     FleetState m_state;
     consensus::Index m_applied = 0;
     consensus::Index m_snapshotAt = 0;
+    std::size_t m_bytesSinceSnapshot = 0;
 
     std::vector<CommandPtr> m_commands;
     std::vector<CommitHandler> m_commandHandlers;
@@ -321,6 +328,14 @@
     std::map<consensus::ReplicaId, TimePoint> m_absentSince;
 
     ConfigurationSender m_configurationSender;
+    /// A configuration that waits until the commands in flight are committed. A newer one replaces
+    /// it, so that there is at most one.
+    struct PendingConfiguration
+    {
+        Configuration configuration;
+        std::string document;
+    };
+    std::optional<PendingConfiguration> m_pendingConfiguration;
 
     /// The consensus group as of the last committed change.
     consensus::Configuration m_committedGroup;
--- a/libs/fleet/include/heathergate/fleet/fleet_state.h
+++ b/libs/fleet/include/heathergate/fleet/fleet_state.h
@@ -58,14 +58,26 @@
     bool granted = false;
 };
 
+/// What the commands of one log entry led to.
+struct AppliedBatch
+{
+    std::vector<ReserveOutcome> reservations;
+    /// Why a configuration was not applied.
+    std::optional<Error> configurationError;
+};
+
 /// The replicated state of every control instance, changed only by committed commands: the active
 /// configuration, the upstreams, the budgets of programs, the recent use of customers' limits, and
 /// the instances that are being retired.
 class FleetState
 {
 public:
-    /// Applies the commands of one log entry. Returns the outcomes of its reservations.
-    auto apply(GroupTime now, const fb::CommandBatchT &batch) -> std::vector<ReserveOutcome>;
+    /// Applies the commands of one log entry.
+    auto apply(GroupTime now, const fb::CommandBatchT &batch) -> AppliedBatch;
+    /// Returns the command that replaces the active configuration. Its size follows that of the
+    /// difference.
+    [[nodiscard]] auto commandFor(const Configuration &configuration,
+                                  const std::string &document) const -> fb::SetConfigurationT;
 
     /// Returns the active configuration.
     [[nodiscard]] auto configuration() const -> const ActiveConfiguration &
@@ -116,14 +128,16 @@
 private:
     [[nodiscard]] auto reserve(GroupTime now, const fb::ReserveT &command) -> bool;
     auto settle(GroupTime now, const fb::SettleT &command) -> void;
-    auto setConfiguration(const fb::SetConfigurationT &command) -> void;
+    /// Fails with `Code::BadFrame` or, if the base is not the active version, `Code::OutOfOrder`.
+    [[nodiscard]] auto setConfiguration(const fb::SetConfigurationT &command) -> Result<void>;
+    [[nodiscard]] auto activate(const ConfigurationChange &change, std::string document)
+        -> Result<void>;
     auto setUpstream(GroupTime now, const fb::UpstreamT &upstream) -> void;
     auto recordUsage(GroupTime now, const fb::CustomerUseT &used) -> void;
     auto removeExpired(GroupTime now) -> void;
 
     ActiveConfiguration m_configuration;
     ConfigurationHistory m_history;
-    std::string m_content;
     std::string m_document;
     std::map<UpstreamId, UpstreamRecord> m_upstreams;
     std::uint64_t m_upstreamChanges = 0;
--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -13,9 +13,6 @@
 
 namespace heathergate::fleet {
 
-/// Limit of the encoded size of a configuration.
-constexpr std::size_t kMaxConfigurationBytes = 32UL * 1024 * 1024;
-
 /// Identity of a gateway.
 struct GatewaySettings
 {
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -64,18 +64,27 @@
                {"in_force", current},
                {"bytes", document.size()},
                {"term", m_replica.term()}});
-    if (configuration.version <= current) {
-        CallAnswer answer;
-        answer.token = token;
+    CallAnswer answer;
+    answer.token = token;
+    if (document.size() > kMaxDocumentBytes) {
+        answer.status = CallStatus::TooLarge;
+        answer.detail = "a configuration has at most " + std::to_string(kMaxDocumentBytes)
+                        + " bytes, this one " + std::to_string(document.size());
+        m_log.add(now, LogImportance::Important, "operator", "configuration_refused",
+                  {{"version", configuration.version}, {"detail", answer.detail}});
+    }
+    if (answer.status != CallStatus::Done || configuration.version <= current) {
         m_output.answers.push_back(std::move(answer));
         return;
     }
-    auto command = std::make_unique<fb::CommandT>();
-    command->configuration = std::make_unique<fb::SetConfigurationT>();
-    command->configuration->version = configuration.version;
-    command->configuration->content = toBytes(encode(configuration));
-    command->configuration->document = toBytes(document);
-    propose(std::move(command), true, commitAnswer(token));
+    if (!m_pendingConfiguration
+        || m_pendingConfiguration->configuration.version < configuration.version)
+        m_pendingConfiguration = PendingConfiguration{configuration, document};
+    m_urgent = true;
+    m_commandHandlers.push_back(
+        [this, token, version = configuration.version](TimePoint at, bool committed) {
+            commitAnswer(token)(at, committed && m_state.configuration().version() >= version);
+        });
 }
 
 auto ControlNode::readConfiguration(TimePoint now, CallToken token) -> void
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -111,7 +111,7 @@
 
 auto ControlNode::flushProposals(TimePoint now) -> void
 {
-    if (m_commands.empty() && m_pendingUse.empty())
+    if (m_commands.empty() && m_pendingUse.empty() && !m_pendingConfiguration)
         return;
     if (!m_oldestCommand)
         m_oldestCommand = now;
@@ -122,6 +122,7 @@
         return;
     fb::CommandBatchT batch;
     batch.commands = std::exchange(m_commands, {});
+    addPendingConfiguration(batch);
     for (const auto &[customer, count] : std::exchange(m_pendingUse, {})) {
         auto used = std::make_unique<fb::CustomerUseT>();
         used->customer = customer.value;
@@ -140,6 +141,18 @@
     m_inFlight[*index] = Batch{m_replica.term(), std::move(handlers)};
 }
 
+auto ControlNode::addPendingConfiguration(fb::CommandBatchT &batch) -> void
+{
+    const auto pending = std::exchange(m_pendingConfiguration, std::nullopt);
+    if (!pending || pending->configuration.version <= m_state.configuration().version())
+        return;
+    // No other command is in flight, so that the active version is also that at the end of the log.
+    auto command = std::make_unique<fb::CommandT>();
+    command->configuration = std::make_unique<fb::SetConfigurationT>(
+        m_state.commandFor(pending->configuration, pending->document));
+    batch.commands.push_back(std::move(command));
+}
+
 auto ControlNode::collect(TimePoint now) -> void
 {
     auto effects = m_replica.takeEffects(now);
@@ -156,6 +169,7 @@
         m_committedGroup = effects.installed->meta.configuration;
         m_applied = effects.installed->meta.index;
         m_snapshotAt = m_applied;
+        m_bytesSinceSnapshot = 0;
     }
     for (const auto &entry : effects.committed)
         applyEntry(now, entry);
@@ -191,15 +205,19 @@
 {
     m_applied = entry.index;
     const auto version = m_state.configuration().version();
-    std::vector<ReserveOutcome> outcomes;
+    m_bytesSinceSnapshot += entry.payload.size();
+    AppliedBatch applied;
     if (entry.kind == consensus::EntryKind::Command) {
         const auto batch = unpack<fb::CommandBatchT>(entry.payload);
         if (batch)
-            outcomes = m_state.apply(entry.time, *batch);
+            applied = m_state.apply(entry.time, *batch);
         else
             m_log.add(now, telemetry::LogImportance::Important, "state", "entry_unreadable",
                       {{"index", entry.index}, {"detail", batch.error().detail}});
     }
+    if (applied.configurationError)
+        m_log.add(now, telemetry::LogImportance::Important, "state", "configuration_unreadable",
+                  {{"index", entry.index}, {"detail", applied.configurationError->detail}});
     if (entry.kind == consensus::EntryKind::Configuration) {
         if (auto group = decode<consensus::Configuration>(entry.payload)) {
             m_committedGroup = std::move(*group);
@@ -223,7 +241,7 @@
     const auto handlers = std::move(batch->second.handlers);
     m_inFlight.erase(batch);
     if (isOwn) {
-        for (const auto &outcome : outcomes)
+        for (const auto &outcome : applied.reservations)
             reserved(now, outcome);
     }
     for (const auto &handler : handlers)
@@ -239,6 +257,7 @@
     // Proposed commands may still be committed; only the later state shows whether they were.
     auto handlers = std::exchange(m_commandHandlers, {});
     m_commands.clear();
+    m_pendingConfiguration.reset();
     m_oldestCommand.reset();
     m_urgent = false;
     for (auto &[index, batch] : std::exchange(m_inFlight, {}))
@@ -261,9 +280,11 @@
 
 auto ControlNode::compactIfNeeded() -> void
 {
-    if (m_applied < m_snapshotAt + m_settings.compactAfter)
+    if (m_applied < m_snapshotAt + m_settings.compactAfter
+        && m_bytesSinceSnapshot < m_settings.compactAfterBytes)
         return;
     m_snapshotAt = m_applied;
+    m_bytesSinceSnapshot = 0;
     const auto state = std::make_shared<const std::string>(m_state.snapshot());
     const auto meta = m_replica.compact(m_applied, state);
     storage::Compaction compaction;
--- a/libs/fleet/src/fleet_state.cpp
+++ b/libs/fleet/src/fleet_state.cpp
@@ -51,16 +51,19 @@
     return record;
 }
 
-auto FleetState::apply(GroupTime now, const fb::CommandBatchT &batch) -> std::vector<ReserveOutcome>
+auto FleetState::apply(GroupTime now, const fb::CommandBatchT &batch) -> AppliedBatch
 {
-    std::vector<ReserveOutcome> outcomes;
+    AppliedBatch applied;
     for (const auto &command : batch.commands) {
         if (command->reserve)
-            outcomes.push_back({command->reserve->request, reserve(now, *command->reserve)});
+            applied.reservations.push_back(
+                {command->reserve->request, reserve(now, *command->reserve)});
         if (command->settle)
             settle(now, *command->settle);
-        if (command->configuration)
-            setConfiguration(*command->configuration);
+        if (command->configuration) {
+            if (const auto set = setConfiguration(*command->configuration); !set)
+                applied.configurationError = set.error();
+        }
         if (command->upstream && command->upstream->upstream)
             setUpstream(now, *command->upstream->upstream);
         if (command->retiring && command->retiring->retiring)
@@ -71,7 +74,7 @@
     for (const auto &used : batch.used)
         recordUsage(now, *used);
     removeExpired(now);
-    return outcomes;
+    return applied;
 }
 
 auto FleetState::recordUsage(GroupTime now, const fb::CustomerUseT &used) -> void
@@ -110,23 +113,48 @@
     program->second.usedAt = now;
 }
 
-auto FleetState::setConfiguration(const fb::SetConfigurationT &command) -> void
+auto FleetState::commandFor(const Configuration &configuration, const std::string &document) const
+    -> fb::SetConfigurationT
+{
+    fb::SetConfigurationT command;
+    command.version = configuration.version;
+    command.base = m_configuration.version();
+    command.change = toBytes(compress(encodeChange(difference(m_configuration, configuration))));
+    command.documentPatch = toBytes(compress(document, m_document));
+    return command;
+}
+
+auto FleetState::setConfiguration(const fb::SetConfigurationT &command) -> Result<void>
 {
     if (command.version <= m_configuration.version())
-        return;
-    const auto content = toText(command.content);
-    auto configuration = decode<Configuration>(content);
-    if (!configuration)
-        return; // Cannot happen: the leader proposes only configurations that it has decoded.
-    const auto change = difference(m_configuration, *configuration);
+        return {};
+    if (!command.content.empty()) {
+        return decode<Configuration>(toText(command.content)).and_then([&](const auto &item) {
+            return activate(difference(m_configuration, item), toText(command.document));
+        });
+    }
+    if (command.base != m_configuration.version())
+        return fail(Code::OutOfOrder, "the command has the base " + std::to_string(command.base));
+    auto document = decompress(toText(command.documentPatch), kMaxDocumentBytes, m_document);
+    if (!document)
+        return tl::unexpected(document.error());
+    return decompress(toText(command.change), kMaxConfigurationBytes)
+        .and_then(decodeChange)
+        .and_then([&](const ConfigurationChange &change) {
+            return activate(change, std::move(*document));
+        });
+}
+
+auto FleetState::activate(const ConfigurationChange &change, std::string document) -> Result<void>
+{
+    if (auto applied = m_configuration.apply(change); !applied)
+        return applied;
     m_history.record(change);
-    // The base is the active version, so that the change can always be applied.
-    static_cast<void>(m_configuration.apply(change));
-    m_content = content;
-    m_document = toText(command.document);
+    m_document = std::move(document);
     m_retention = kMinRetention;
     for (const auto &route : m_configuration.all().routes)
         m_retention = std::max<std::chrono::microseconds>(m_retention, 2 * route.retention);
+    return {};
 }
 
 auto FleetState::setUpstream(GroupTime now, const fb::UpstreamT &upstream) -> void
@@ -158,10 +186,8 @@
     fb::StateSnapshotT table;
     table.sweptAt = m_lastSweep.count();
     if (m_configuration.version() != 0) {
-        table.configuration = std::make_unique<fb::SetConfigurationT>();
-        table.configuration->version = m_configuration.version();
-        table.configuration->content = toBytes(m_content);
-        table.configuration->document = toBytes(m_document);
+        table.configuration = std::make_unique<fb::SetConfigurationT>(
+            FleetState().commandFor(m_configuration.all(), m_document));
     }
     for (const auto &[id, record] : m_upstreams) {
         table.upstreams.push_back(std::make_unique<fb::UpstreamT>(toTable(record)));
@@ -201,8 +227,10 @@
         return tl::unexpected(table.error());
     *this = FleetState();
     m_lastSweep = GroupTime(table->sweptAt);
-    if (table->configuration)
-        setConfiguration(*table->configuration);
+    if (table->configuration) {
+        if (auto set = setConfiguration(*table->configuration); !set)
+            return set;
+    }
     for (std::size_t i = 0; i < table->upstreams.size(); ++i) {
         auto record = fromTable(*table->upstreams[i]);
         record.changedAt = GroupTime(i < table->goneAt.size() ? table->goneAt[i] : 0);
--- a/libs/fleet/test/fleet_state_test.cpp
+++ b/libs/fleet/test/fleet_state_test.cpp
@@ -1,8 +1,11 @@
+#include "large_configuration.h"
+
 #include <boost/test/unit_test.hpp>
 #include <heathergate/fleet/fleet_state.h>
 
 using namespace heathergate;
 using namespace heathergate::fleet;
+using namespace heathergate::fleet::test;
 
 namespace {
 
@@ -23,7 +26,7 @@
         command->request = request;
         command->budget = kBudget;
         command->most = maxTokens;
-        return state.apply(now, batch).at(0).granted;
+        return state.apply(now, batch).reservations.at(0).granted;
     }
 
     auto settle(const std::string &program, RequestId request, std::int64_t used) -> void
@@ -51,8 +54,28 @@
         command->document = toBytes(document);
         state.apply(now, batch);
     }
+
+    /// Returns why the command was not applied; nothing if it was.
+    auto applyCommand(const fb::SetConfigurationT &command) -> std::optional<Error>
+    {
+        fb::CommandBatchT batch;
+        batch.commands.push_back(std::make_unique<fb::CommandT>());
+        batch.commands.back()->configuration = std::make_unique<fb::SetConfigurationT>(command);
+        return state.apply(now, batch).configurationError;
+    }
+
+    auto replace(const Configuration &configuration) -> void
+    {
+        const auto error = applyCommand(state.commandFor(configuration, documentOf(configuration)));
+        BOOST_TEST_REQUIRE(!error.has_value());
+    }
 };
 
+auto largeConfiguration(std::uint64_t version) -> Configuration
+{
+    return configurationWith(version, 1000);
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(FleetStateTest, StateFixture)
@@ -181,4 +204,56 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenALargeConfigurationChanges)
+
+BOOST_AUTO_TEST_CASE(takesACommandOfTheSizeOfTheDifference)
+{
+    const auto before = largeConfiguration(1);
+    replace(before);
+    auto after = before;
+    after.version = 2;
+    after.routes.front().timeout = 7s;
+    const auto command = state.commandFor(after, documentOf(after));
+    BOOST_TEST(command.change.size() + command.documentPatch.size() < 2'000U);
+    BOOST_TEST(!applyCommand(command).has_value());
+    BOOST_TEST(state.configuration().version() == 2U);
+    BOOST_TEST((state.configuration().all().routes.front().timeout == 7s));
+    BOOST_TEST((state.configurationDocument() == documentOf(after)));
+}
+
+BOOST_AUTO_TEST_CASE(rejectsACommandForAnotherBaseAndChangesNothing)
+{
+    const auto first = largeConfiguration(1);
+    replace(first);
+    const auto command = state.commandFor(largeConfiguration(3), "third");
+    replace(largeConfiguration(2));
+    const auto error = applyCommand(command);
+    BOOST_TEST_REQUIRE(error.has_value());
+    BOOST_TEST((error->code == Code::OutOfOrder));
+    BOOST_TEST(state.configuration().version() == 2U);
+    BOOST_TEST((state.configurationDocument() == documentOf(largeConfiguration(2))));
+}
+
+BOOST_AUTO_TEST_CASE(isRestoredFromASnapshotThatIsSmallerThanItsDocument)
+{
+    const auto configuration = largeConfiguration(1);
+    replace(configuration);
+    const auto snapshot = state.snapshot();
+    BOOST_TEST(snapshot.size() < documentOf(configuration).size());
+    FleetState restored;
+    BOOST_TEST_REQUIRE(restored.restore(snapshot).has_value());
+    BOOST_TEST(restored.configuration().version() == 1U);
+    BOOST_TEST(restored.configuration().all().routes.size() == configuration.routes.size());
+    BOOST_TEST((restored.configurationDocument() == documentOf(configuration)));
+}
+
+BOOST_AUTO_TEST_CASE(takesEntriesOfAnOlderBinary)
+{
+    setConfiguration(4, "from an older binary");
+    BOOST_TEST(state.configuration().version() == 4U);
+    BOOST_TEST(state.configurationDocument() == "from an older binary");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/fleet/test/large_configuration_test.cpp
+++ b/libs/fleet/test/large_configuration_test.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kRecoveryTime = 12s;
 /// A quarter of the memory of a control instance.
 constexpr std::size_t kMaxBacklogBytes = 30UL * 1024 * 1024;
+/// A tenth of the memory of a control instance.
+constexpr std::size_t kMaxLogBytes = 12UL * 1024 * 1024;
 /// Time within which callers expect the first answer.
 constexpr Duration kTargetLatency = 250ms;
 
@@ -46,6 +48,16 @@
     }
 };
 
+/// Returns a configuration each of whose routes differs from its predecessor's.
+auto movedConfiguration(std::uint64_t version, std::size_t routes) -> Configuration
+{
+    auto result = configurationWith(version, routes);
+    for (auto &route : result.routes)
+        route.timeout =
+            std::chrono::milliseconds(hash64(route.name + std::to_string(version)) % 9000 + 1);
+    return result;
+}
+
 auto lastPrefix(const Configuration &configuration) -> std::string
 {
     return configuration.routes.back().pathPrefix;
@@ -128,6 +140,33 @@
     BOOST_TEST(fleet.leader()->replica().term() == term);
 }
 
+BOOST_AUTO_TEST_CASE(keepsTheLogInMemoryThatDoesNotGrowWithTheNumberOfChanges)
+{
+    RunningFleet fleet;
+    fleet.store(configurationWith(2, kManyRoutes));
+    for (std::uint64_t version = 3; version <= 40; ++version)
+        fleet.store(movedConfiguration(version, kManyRoutes));
+    BOOST_TEST(fleet.largestLog() < kMaxLogBytes);
+}
+
+BOOST_AUTO_TEST_CASE(bearsTheLargestConfigurationThatIsAccepted)
+{
+    RunningFleet fleet;
+    auto routes = kManyRoutes;
+    while (documentOf(movedConfiguration(2, 2 * routes)).size() <= kMaxDocumentBytes)
+        routes *= 2;
+    for (std::uint64_t version = 2; version <= 12; ++version)
+        fleet.store(movedConfiguration(version, routes));
+    BOOST_TEST(fleet.timeUntilInForce(12, kApplyTime).has_value());
+    BOOST_TEST(fleet.largestLog() < kMaxLogBytes);
+    BOOST_TEST(fleet.peakBacklog() < kMaxBacklogBytes);
+    const auto token = fleet.put(movedConfiguration(13, 2 * routes));
+    fleet.run(100ms);
+    BOOST_TEST_REQUIRE(fleet.answer(token).has_value());
+    BOOST_TEST((fleet.answer(token)->status == CallStatus::TooLarge));
+    BOOST_TEST(!fleet.answer(token)->detail.empty());
+}
+
 BOOST_AUTO_TEST_CASE(sendsBytesInProportionToTheChange)
 {
     const auto bytesOfChange = [](std::size_t routes) {
