Keep to the rate that an upstream states in its responses

Ruled out: instances that each keep to it alone; retries. Change: the gateway tells the leader at the head of the response, the leader places by a token bucket of the stated rate (one second of tokens), prefers other upstreams and counts the rate in its expected wait. A response without a rate to a request that was placed after the last statement ends the limit; a new leader is told by all gateways; a new incarnation starts without one.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -219,6 +219,7 @@
     auto handle(TimePoint now, const InstanceId &from, fb::FeedT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::RedirectT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::ConfigurationProgressT &message) -> void;
+    auto handle(TimePoint now, const InstanceId &from, fb::UpstreamStatementT &message) -> void;
     auto handle(TimePoint, const InstanceId &, fb::ConfigurationPieceT &) -> void {}
     auto sendPresence(TimePoint now) -> void;
     auto sendFeed(TimePoint now, const InstanceId &to) -> void;
--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <heathergate/fleet/fleet_state.h>
 #include <heathergate/fleet/poison_register.h>
+#include <heathergate/fleet/stated_rate.h>
 #include <heathergate/routing/health.h>
 #include <heathergate/routing/prefix_index.h>
 
@@ -47,6 +48,10 @@
     Duration waited{};
     /// Requests at the upstream, including this one.
     std::size_t running = 0;
+    /// Start time of the upstream's incarnation, on its own clock.
+    std::chrono::milliseconds startedAt{};
+    /// The upstream has stated a limit of its rate.
+    bool isLimited = false;
 };
 
 enum class RejectReason {
@@ -91,6 +96,15 @@
     /// Records that an upstream is reachable, and for how long it remains slow after its start.
     auto heartbeat(TimePoint now, const UpstreamId &id, Duration coldRemaining) -> void;
 
+    /// Limits the requests that are placed at an upstream to the rate that it stated, in requests
+    /// per second. Has no effect if `startedAt` is that of another incarnation. Returns whether the
+    /// limit has changed.
+    auto limit(TimePoint now, const UpstreamId &id, std::chrono::milliseconds startedAt,
+               double perSecond) -> bool;
+    /// Ends the limit of the upstream where `request` runs, because its response stated none.
+    /// Returns whether there was one.
+    auto lift(TimePoint now, RequestId request) -> bool;
+
     /// Submits a request; a placement or a rejection follows. A request that is already placed has
     /// its placement returned again.
     auto submit(TimePoint now, Work work) -> void;
@@ -130,6 +144,7 @@
         /// Smoothed ratio of the measured to the expected duration of its requests.
         double slowdown = 1;
         TimePoint coldUntil{};
+        StatedRate rate;
         /// End of the pause after it declined a request for lack of capacity.
         TimePoint declinedUntil{};
         bool isEngine = false;
@@ -166,6 +181,8 @@
         std::optional<UpstreamId> placedAt;
         Duration expected{};
         QueueKey key;
+        /// Time of the placement.
+        TimePoint placedTime{};
     };
 
     [[nodiscard]] auto choose(TimePoint now, const Work &work) const -> const Upstream *;
@@ -174,6 +191,12 @@
         -> bool;
     /// Returns how many requests may be in transit to an upstream or running there.
     [[nodiscard]] auto capacity(const Upstream &upstream) const -> std::size_t;
+    /// Returns the number of requests that run at the same time at an upstream whose slots are used
+    /// as far as its stated rate permits.
+    [[nodiscard]] auto usableSlots(const Upstream &upstream, const ServiceState &service) const
+        -> double;
+    [[nodiscard]] auto placementOf(const WorkState &state, const Upstream &upstream,
+                                   Duration waited) const -> Placement;
     [[nodiscard]] static auto isReachable(TimePoint now, const Upstream &upstream) -> bool;
     [[nodiscard]] auto hasReachableUpstream(TimePoint now, const Work &work) const -> bool;
     [[nodiscard]] static auto queueKeyOf(TimePoint now, const Work &work) -> QueueKey;
--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -5,6 +5,7 @@
 #include <heathergate/fleet/event_splitter.h>
 #include <heathergate/fleet/leader_link.h>
 #include <heathergate/fleet/peer_frame.h>
+#include <heathergate/fleet/upstream_statements.h>
 #include <heathergate/history/history_client.h>
 #include <heathergate/telemetry/telemetry.h>
 
@@ -153,6 +154,8 @@
     bool declined = false;
     /// The response carries the upstream's signature header and no header that contradicts it.
     bool isAuthentic = false;
+    /// Requests per second that the upstream states that it accepts from all instances together.
+    std::optional<double> statedRate = std::nullopt;
 };
 
 /// Result of an exchange with an upstream.
@@ -255,6 +258,10 @@
         Phase phase = Phase::Waiting;
         AttemptId attempt = 0;
         UpstreamId upstream;
+        /// Start time of the upstream's incarnation, on its own clock.
+        std::chrono::milliseconds upstreamStartedAt{};
+        /// The leader knows of a rate that the upstream has stated.
+        bool isUpstreamLimited = false;
         TimePoint sentAt{};
         TimePoint lastByteAt{};
         std::optional<TimePoint> firstByteAt;
@@ -285,8 +292,9 @@
     [[nodiscard]] auto pickService(const Route &route) -> ServiceId;
     auto submit(TimePoint now, Call &call) -> void;
     [[nodiscard]] auto admissionOf(TimePoint now, const Call &call) const -> fb::AdmissionT;
-    auto startAttempt(TimePoint now, Call &call, const UpstreamId &upstream,
-                      const Endpoint &address) -> void;
+    auto startAttempt(TimePoint now, Call &call, const Endpoint &address) -> void;
+    /// Reports what the head of a response states about its upstream.
+    auto reportStatement(TimePoint now, const Call &call) -> void;
     auto streamData(TimePoint now, Call &call, std::string_view bytes) -> void;
     auto breakOff(TimePoint now, Call &call, bool mayHaveRun) -> void;
     [[nodiscard]] auto acceptEvent(Call &call, const StreamEvent &event) -> bool;
@@ -341,6 +349,7 @@
     std::uint64_t m_lastAdmission = 0;
 
     LeaderLink m_link;
+    UpstreamStatements m_statements;
     history::HistoryClient m_history;
     bool m_leaving = false;
     /// Recent final completions, resent to a new leader because they may have been lost.
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -195,6 +195,29 @@
     m_admissions.erase(message.request);
 }
 
+auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::UpstreamStatementT &message)
+    -> void
+{
+    if (!isLeader(now))
+        return redirect(from);
+    const UpstreamId upstream(message.upstream);
+    const auto hasChanged =
+        message.rate ? m_dispatcher.limit(now, upstream, std::chrono::milliseconds(message.born),
+                                          *message.rate)
+                     : m_dispatcher.lift(now, message.request);
+    if (!hasChanged)
+        return;
+    m_metrics.count("heathergate_upstream_limit_changes_total", {});
+    m_log.add(now, LogImportance::Important, "upstreams",
+              message.rate ? "limit_stated" : "limit_lifted",
+              {{"upstream", message.upstream},
+               {"rate", message.rate ? std::to_string(*message.rate) : "none"},
+               {"gateway", from.value},
+               {"admission", message.request},
+               {"born", message.born},
+               {"term", m_replica.term()}});
+}
+
 auto ControlNode::reserveBudget(const fb::AdmissionT &message) -> void
 {
     auto command = std::make_unique<fb::CommandT>();
@@ -243,6 +266,8 @@
     grant.request = request;
     grant.upstream = placement.upstream.value;
     grant.address = placement.address.text();
+    grant.born = placement.startedAt.count();
+    grant.limited = placement.isLimited;
     m_metrics.observe("heathergate_admission_seconds", {}, now - state.admittedAt);
     m_output.messages.push_back({state.gateway, PeerFrame(Message(std::move(grant)))});
 }
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -74,6 +74,7 @@
             const auto memory = engine == nullptr ? 0 : engine->memoryTokens;
             upstream.cache = routing::PrefixIndex(memory);
             upstream.health = {};
+            upstream.rate = {};
             upstream.slowdown = 1;
             upstream.lastUnreachableAt.reset();
         }
@@ -101,14 +102,37 @@
     found->second.lastHeartbeat = now;
 }
 
+auto Dispatcher::limit(TimePoint now, const UpstreamId &id, std::chrono::milliseconds startedAt,
+                       double perSecond) -> bool
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end() || found->second.record.startedAt != startedAt)
+        return false;
+    auto &rate = found->second.rate;
+    const auto before = rate.perSecond();
+    rate.state(now, perSecond);
+    return rate.perSecond() != before;
+}
+
+auto Dispatcher::lift(TimePoint now, RequestId request) -> bool
+{
+    const auto found = m_work.find(request);
+    if (found == m_work.end() || !found->second.placedAt)
+        return false;
+    const auto upstream = m_upstreams.find(*found->second.placedAt);
+    if (upstream == m_upstreams.end() || !upstream->second.rate.lift(found->second.placedTime))
+        return false;
+    fillFreeSlots(now, found->second.work.service);
+    return true;
+}
+
 auto Dispatcher::submit(TimePoint now, Work work) -> void
 {
     if (const auto known = m_work.find(work.id); known != m_work.end()) {
         auto &state = known->second;
         if (state.placedAt)
-            m_placements.push_back({work.id, state.work.gateway, *state.placedAt,
-                                    m_upstreams.at(*state.placedAt).record.address,
-                                    now - state.submittedAt, 0});
+            m_placements.push_back(
+                placementOf(state, m_upstreams.at(*state.placedAt), now - state.submittedAt));
         return;
     }
     const auto id = work.id;
@@ -142,7 +166,7 @@
         return;
     found->second.running.insert(work.id);
     const auto id = work.id;
-    m_work[id] = WorkState{std::move(work), now, upstream, Duration::zero(), {}};
+    m_work[id] = WorkState{std::move(work), now, upstream, Duration::zero(), {}, now};
 }
 
 auto Dispatcher::finish(TimePoint now, RequestId request, const AttemptReport &report) -> void
@@ -236,7 +260,7 @@
     -> bool
 {
     return upstream.running.size() < capacity(upstream) && now >= upstream.declinedUntil
-           && isReachable(now, upstream)
+           && upstream.rate.allows(now) && isReachable(now, upstream)
            && std::find(work.avoid.begin(), work.avoid.end(), upstream.record.id)
                   == work.avoid.end();
 }
@@ -280,7 +304,7 @@
     if (work.pinnedUpstream) {
         const auto pinned = m_upstreams.find(*work.pinnedUpstream);
         if (pinned != m_upstreams.end() && pinned->second.record.phase != UpstreamPhase::Removed)
-            return &pinned->second;
+            return pinned->second.rate.allows(now) ? &pinned->second : nullptr;
     }
     const Upstream *best = nullptr;
     double bestCost = 0;
@@ -336,15 +360,21 @@
 
 auto Dispatcher::expectedWait(const ServiceState &service, const QueueKey &key) const -> Duration
 {
-    std::size_t slots = 0;
+    double slots = 0;
     for (const auto &id : service.upstreams)
-        slots += static_cast<std::size_t>(std::max(m_upstreams.at(id).record.slots, 1));
+        slots += usableSlots(m_upstreams.at(id), service);
     const auto ahead = std::distance(service.queue.begin(), service.queue.lower_bound(key));
-    const auto rounds =
-        static_cast<double>(ahead + 1) / static_cast<double>(std::max<std::size_t>(slots, 1));
+    const auto rounds = static_cast<double>(ahead + 1) / (slots > 0 ? slots : 1);
     return fromSeconds(rounds * service.meanDurationSeconds);
 }
 
+auto Dispatcher::usableSlots(const Upstream &upstream, const ServiceState &service) const -> double
+{
+    const auto slots = static_cast<double>(std::max(upstream.record.slots, 1));
+    const auto rate = upstream.rate.perSecond();
+    return rate ? std::min(slots, *rate * service.meanDurationSeconds) : slots;
+}
+
 auto Dispatcher::enqueue(WorkState &state) -> void
 {
     m_services[state.work.service].queue.insert(state.key);
@@ -372,8 +402,24 @@
     upstream.running.insert(work.id);
     upstream.cache.touch(work.prompt);
     state.placedAt = id;
-    m_placements.push_back({work.id, work.gateway, id, upstream.record.address,
-                            now - state.submittedAt, upstream.running.size()});
+    state.placedTime = now;
+    upstream.rate.take(now);
+    m_placements.push_back(placementOf(state, upstream, now - state.submittedAt));
+}
+
+auto Dispatcher::placementOf(const WorkState &state, const Upstream &upstream,
+                             Duration waited) const -> Placement
+{
+    Placement placement;
+    placement.request = state.work.id;
+    placement.gateway = state.work.gateway;
+    placement.upstream = upstream.record.id;
+    placement.address = upstream.record.address;
+    placement.waited = waited;
+    placement.running = upstream.running.size();
+    placement.startedAt = upstream.record.startedAt;
+    placement.isLimited = upstream.rate.perSecond().has_value();
+    return placement;
 }
 
 auto Dispatcher::reject(TimePoint, RequestId request, RejectReason reason, Duration retryAfter)
--- a/libs/fleet/src/gateway.cpp
+++ b/libs/fleet/src/gateway.cpp
@@ -149,7 +149,10 @@
         now, LogImportance::Important, "fleet", "leader_found",
         {{"leader", m_link.leader()->value}, {"term", m_link.term()}, {"calls", m_calls.size()}});
     m_link.requestPresenceNow(now);
-    // The new leader has no record of the requests that run or wait here.
+    // The new leader has no record of what responses stated, nor of the requests that run or wait
+    // here.
+    for (auto &statement : m_statements.all())
+        sendToLeader(Message(std::move(statement)));
     for (const auto &[at, completion] : m_recentCompletions)
         sendToLeader(Message(completion));
     for (const auto &[token, call] : m_calls) {
--- a/libs/fleet/src/gateway_attempts.cpp
+++ b/libs/fleet/src/gateway_attempts.cpp
@@ -25,12 +25,10 @@
 
 } // namespace
 
-auto Gateway::startAttempt(TimePoint now, Call &call, const UpstreamId &upstream,
-                           const Endpoint &address) -> void
+auto Gateway::startAttempt(TimePoint now, Call &call, const Endpoint &address) -> void
 {
     call.phase = Phase::Running;
     call.attempt = ++m_lastAttempt;
-    call.upstream = upstream;
     call.admittedBefore = true;
     call.sentAt = now;
     call.lastByteAt = now;
@@ -47,7 +45,7 @@
                {"program", call.request.program},
                {"customer", call.customer.value},
                {"route", call.route},
-               {"upstream", upstream.value},
+               {"upstream", call.upstream.value},
                {"try", call.tries},
                {"waited_ms", now - call.arrivedAt},
                {"left_ms", call.deadline - now},
@@ -57,7 +55,7 @@
     StartAttempt start;
     start.token = call.request.token;
     start.attempt = call.attempt;
-    start.upstream = upstream;
+    start.upstream = call.upstream;
     start.address = address;
     start.customer = call.customer;
     start.timeLeft = call.deadline - now;
@@ -76,6 +74,32 @@
     call->head = head;
     call->headReceived = true;
     call->lastByteAt = now;
+    reportStatement(now, *call);
+}
+
+auto Gateway::reportStatement(TimePoint now, const Call &call) -> void
+{
+    const UpstreamIncarnation upstream{call.upstream, call.upstreamStartedAt};
+    const auto isKnown = m_statements.rateOf(upstream).has_value();
+    auto report = m_statements.note(now, upstream, call.sentAt, call.head.statedRate);
+    // The leader may know the rate from another gateway.
+    if (!call.head.statedRate && call.isUpstreamLimited)
+        report = StatementReport::Lifted;
+    if (call.head.statedRate && !isKnown)
+        m_log.add(now, LogImportance::Important, "upstreams", "limit_seen",
+                  {{"upstream", call.upstream.value},
+                   {"rate", std::to_string(*call.head.statedRate)},
+                   {"request", call.request.name},
+                   {"leader_known", m_link.leader() ? 1 : 0}});
+    if (report == StatementReport::None)
+        return;
+    fb::UpstreamStatementT statement;
+    statement.upstream = call.upstream.value;
+    statement.born = call.upstreamStartedAt.count();
+    statement.request = call.admission;
+    if (call.head.statedRate)
+        statement.rate = *call.head.statedRate;
+    sendToLeader(Message(std::move(statement)));
 }
 
 auto Gateway::attemptData(TimePoint now, AttemptId attempt, std::string_view bytes) -> void
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -180,7 +180,10 @@
         sendToLeader(Message(std::move(completion)));
         return;
     }
-    startAttempt(now, *call, UpstreamId(message.upstream), *address);
+    call->upstream = UpstreamId(message.upstream);
+    call->upstreamStartedAt = std::chrono::milliseconds(message.born);
+    call->isUpstreamLimited = message.limited;
+    startAttempt(now, *call, *address);
 }
 
 auto Gateway::handle(TimePoint now, const InstanceId &, fb::RefusalT &message) -> void
--- a/libs/fleet/src/messages.cpp
+++ b/libs/fleet/src/messages.cpp
@@ -33,6 +33,8 @@
         return Message(std::move(*piece));
     if (auto *progress = body.AsConfigurationProgress())
         return Message(*progress);
+    if (auto *statement = body.AsUpstreamStatement())
+        return Message(std::move(*statement));
     return fail(Code::BadFrame, "a message without body");
 }
 
--- a/libs/fleet/test/gateway_fixture.h
+++ b/libs/fleet/test/gateway_fixture.h
@@ -98,7 +98,8 @@
         return m_lastToken;
     }
 
-    auto grant(const std::string &upstream) -> StartAttempt
+    auto grant(const std::string &upstream, std::int64_t born = 1, bool isLimited = false)
+        -> StartAttempt
     {
         const auto admissions = take<fb::AdmissionT>();
         BOOST_TEST_REQUIRE(!admissions.empty());
@@ -106,6 +107,8 @@
         message.request = admissions.back().request;
         message.upstream = upstream;
         message.address = "127.0.0.1:9000";
+        message.born = born;
+        message.limited = isLimited;
         m_gateway.receive(m_now, kLeader, PeerFrame(Message(message)));
         const auto started = take<StartAttempt>();
         BOOST_TEST_REQUIRE(started.size() == 1U);
--- /dev/null
+++ b/libs/fleet/test/gateway_statements_test.cpp
@@ -0,0 +1,92 @@
+#include "gateway_fixture.h"
+
+using namespace heathergate;
+using namespace heathergate::fleet;
+using namespace heathergate::fleet::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct StatementFixture : ConnectedFixture
+{
+    /// Sends a request to an upstream whose response states `rate`.
+    auto answer(const std::string &upstream, std::optional<double> rate, bool isLimited = false)
+        -> void
+    {
+        request("/safe/1");
+        const auto attempt = grant(upstream, 1, isLimited).attempt;
+        advance(5ms);
+        m_gateway.attemptHead(m_now, attempt, {200, false, true, rate});
+        m_gateway.attemptEnd(m_now, attempt, {true, true, true});
+        advance(5ms);
+    }
+
+    auto statements() -> std::vector<fb::UpstreamStatementT>
+    {
+        return take<fb::UpstreamStatementT>();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(GatewayStatementsTest, StatementFixture)
+
+BOOST_AUTO_TEST_SUITE(WhenAResponseStatesARate)
+
+BOOST_AUTO_TEST_CASE(tellsTheLeaderAtTheHeadOfTheResponse)
+{
+    request("/safe/1");
+    const auto attempt = grant("u").attempt;
+    m_gateway.attemptHead(m_now, attempt, {200, false, true, 7.4});
+    const auto sent = statements();
+    BOOST_TEST_REQUIRE(sent.size() == 1U);
+    BOOST_TEST(sent.front().upstream == "u");
+    BOOST_TEST(sent.front().born == 1);
+    BOOST_TEST(*sent.front().rate == 7.4);
+}
+
+BOOST_AUTO_TEST_CASE(tellsAnUnchangedRateAtIntervalsOnly)
+{
+    for (int i = 0; i < 50; ++i)
+        answer("u", 7.4);
+    const auto sent = statements().size();
+    BOOST_TEST(sent >= 2U);
+    BOOST_TEST(sent <= 4U);
+    answer("u", 3.0);
+    BOOST_TEST(statements().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(tellsANewLeaderWhatItKnows)
+{
+    answer("u", 7.4);
+    answer("v", 3.0);
+    statements();
+    feed(InstanceId("10.0.0.2"), 2, 1);
+    BOOST_TEST(statements().size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheRateIsNotStatedAnyMore)
+
+BOOST_AUTO_TEST_CASE(tellsTheLeaderOnce)
+{
+    answer("u", 7.4);
+    statements();
+    answer("u", std::nullopt);
+    const auto sent = statements();
+    BOOST_TEST_REQUIRE(sent.size() == 1U);
+    BOOST_TEST(!sent.front().rate.has_value());
+    answer("u", std::nullopt);
+    BOOST_TEST(statements().empty());
+}
+
+BOOST_AUTO_TEST_CASE(tellsALeaderThatLearntOfTheRateFromOthers)
+{
+    answer("u", std::nullopt, true);
+    BOOST_TEST(statements().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
