Send nothing to an upstream that states that it is about to end

Change: the gateway takes the statement from the head of any response, gives back later grants for that incarnation and requests another place, in touch with the leader or not, and tells each leader; the leader places nothing there, replicates the upstream as draining, ignores its late heartbeats, and rejects at once what no other upstream can serve. A new incarnation under the same identifier is not affected. Tests: GatewayStatementsTest, DispatcherTest and ControlNodeTest, each WhenA...StatesThatItIsAboutToEnd: head of a stream, gateway with a leader that does not know, next leader, late heartbeat, late statement, last upstream of a service.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -220,6 +220,9 @@
     auto handle(TimePoint now, const InstanceId &from, fb::RedirectT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::ConfigurationProgressT &message) -> void;
     auto handle(TimePoint now, const InstanceId &from, fb::UpstreamStatementT &message) -> void;
+    /// Handles the statement of an upstream that it is about to end.
+    auto retireUpstream(TimePoint now, const InstanceId &from,
+                        const fb::UpstreamStatementT &message) -> void;
     auto handle(TimePoint, const InstanceId &, fb::ConfigurationPieceT &) -> void {}
     auto sendPresence(TimePoint now) -> void;
     auto sendFeed(TimePoint now, const InstanceId &to) -> void;
--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -105,6 +105,13 @@
     /// Returns whether there was one.
     auto lift(TimePoint now, RequestId request) -> bool;
 
+    /// Places no further requests at an upstream that stated that it is about to end, and rejects
+    /// those that no other upstream can serve. Has no effect if `startedAt` is that of another
+    /// incarnation. Returns whether it was in use.
+    auto retire(TimePoint now, const UpstreamId &id, std::chrono::milliseconds startedAt) -> bool;
+    /// Returns whether an upstream has been retired.
+    [[nodiscard]] auto isRetired(const UpstreamId &id) const -> bool;
+
     /// Submits a request; a placement or a rejection follows. A request that is already placed has
     /// its placement returned again.
     auto submit(TimePoint now, Work work) -> void;
@@ -145,6 +152,8 @@
         double slowdown = 1;
         TimePoint coldUntil{};
         StatedRate rate;
+        /// It stated that it is about to end.
+        bool isRetired = false;
         /// End of the pause after it declined a request for lack of capacity.
         TimePoint declinedUntil{};
         bool isEngine = false;
@@ -206,6 +215,8 @@
     auto place(TimePoint now, WorkState &state, const UpstreamId &upstream) -> void;
     auto reject(TimePoint now, RequestId request, RejectReason reason, Duration retryAfter) -> void;
     auto fillFreeSlots(TimePoint now, const ServiceId &service) -> void;
+    /// Rejects the queued requests of a service all of whose upstreams are gone.
+    auto rejectUnservable(TimePoint now, const ServiceId &service) -> void;
     auto enqueue(WorkState &state) -> void;
     auto removeFromQueue(const WorkState &state) -> void;
     auto updateEstimates(TimePoint now, Upstream &upstream, const WorkState &state,
--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -156,6 +156,8 @@
     bool isAuthentic = false;
     /// Requests per second that the upstream states that it accepts from all instances together.
     std::optional<double> statedRate = std::nullopt;
+    /// The upstream states that it is about to end.
+    bool isLeaving = false;
 };
 
 /// Result of an exchange with an upstream.
@@ -295,6 +297,12 @@
     auto startAttempt(TimePoint now, Call &call, const Endpoint &address) -> void;
     /// Reports what the head of a response states about its upstream.
     auto reportStatement(TimePoint now, const Call &call) -> void;
+    auto reportLeaving(TimePoint now, const Call &call) -> void;
+    /// Tells the leader what the response to a call stated.
+    auto sendStatement(const Call &call, fb::UpstreamStatementT statement) -> void;
+    /// Gives the granted place back, because the upstream is about to end, and requests another
+    /// one.
+    auto returnGrant(TimePoint now, Call &call) -> void;
     auto streamData(TimePoint now, Call &call, std::string_view bytes) -> void;
     auto breakOff(TimePoint now, Call &call, bool mayHaveRun) -> void;
     [[nodiscard]] auto acceptEvent(Call &call, const StreamEvent &event) -> bool;
--- a/libs/fleet/include/heathergate/fleet/upstream_statements.h
+++ b/libs/fleet/include/heathergate/fleet/upstream_statements.h
@@ -35,15 +35,22 @@
     /// upstream.
     [[nodiscard]] auto note(TimePoint now, const UpstreamIncarnation &upstream, TimePoint sentAt,
                             std::optional<double> rate) -> StatementReport;
+    /// Notes that a response stated that its upstream is about to end. Returns whether the leader
+    /// has to be told.
+    [[nodiscard]] auto noteLeaving(TimePoint now, const UpstreamIncarnation &upstream) -> bool;
+    [[nodiscard]] auto isLeaving(const UpstreamIncarnation &upstream) const -> bool
+    {
+        return m_leaving.contains(upstream);
+    }
     /// Returns the last stated rate of an upstream; nothing if it has no limit.
     [[nodiscard]] auto rateOf(const UpstreamIncarnation &upstream) const -> std::optional<double>;
     /// Returns all statements in force.
     [[nodiscard]] auto all() const -> std::vector<fb::UpstreamStatementT>;
 
 private:
-    /// Time after which an unchanged rate is reported again.
+    /// Time after which an unchanged statement is reported again.
     static constexpr Duration kReportInterval = std::chrono::milliseconds(200);
-    /// Number of statements from which on the oldest are dropped.
+    /// Number of statements of a kind from which on the oldest are dropped.
     static constexpr std::size_t kMaxStatements = 1024;
 
     struct Statement
@@ -53,9 +60,9 @@
         TimePoint reportedAt{};
     };
 
-    auto dropOldest() -> void;
-
     std::map<UpstreamIncarnation, Statement> m_rates;
+    /// Upstreams that are about to end.
+    std::map<UpstreamIncarnation, Statement> m_leaving;
 };
 
 } // namespace heathergate::fleet
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -201,6 +201,8 @@
     if (!isLeader(now))
         return redirect(from);
     const UpstreamId upstream(message.upstream);
+    if (message.leaving)
+        return retireUpstream(now, from, message);
     const auto hasChanged =
         message.rate ? m_dispatcher.limit(now, upstream, std::chrono::milliseconds(message.born),
                                           *message.rate)
@@ -218,6 +220,27 @@
                {"term", m_replica.term()}});
 }
 
+auto ControlNode::retireUpstream(TimePoint now, const InstanceId &from,
+                                 const fb::UpstreamStatementT &message) -> void
+{
+    const UpstreamId upstream(message.upstream);
+    if (!m_dispatcher.retire(now, upstream, std::chrono::milliseconds(message.born)))
+        return;
+    m_metrics.count("heathergate_upstreams_leaving_total", {});
+    m_log.add(now, LogImportance::Important, "upstreams", "leaving_stated",
+              {{"upstream", message.upstream},
+               {"gateway", from.value},
+               {"admission", message.request},
+               {"born", message.born},
+               {"term", m_replica.term()}});
+    const auto known = m_state.upstreams().find(upstream);
+    if (known == m_state.upstreams().end() || known->second.phase != UpstreamPhase::Ready)
+        return;
+    auto record = known->second;
+    record.phase = UpstreamPhase::Draining;
+    setUpstream(now, record, "draining", {});
+}
+
 auto ControlNode::reserveBudget(const fb::AdmissionT &message) -> void
 {
     auto command = std::make_unique<fb::CommandT>();
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -233,7 +233,12 @@
         other.phase = UpstreamPhase::Removed;
         setUpstream(now, other, "replaced", {});
     }
-    if (isKnown && sameUpstream(known->second, record) && replaced.empty()) {
+    // A heartbeat that was sent before the upstream stated that it is about to end may arrive
+    // later.
+    const auto isLate = isKnown && record.startedAt == known->second.startedAt
+                        && record.phase == UpstreamPhase::Ready
+                        && m_dispatcher.isRetired(record.id);
+    if (isKnown && replaced.empty() && (isLate || sameUpstream(known->second, record))) {
         m_dispatcher.heartbeat(now, record.id, report.coldRemaining);
         m_output.answers.push_back(std::move(answer));
         return;
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -75,6 +75,7 @@
             upstream.cache = routing::PrefixIndex(memory);
             upstream.health = {};
             upstream.rate = {};
+            upstream.isRetired = false;
             upstream.slowdown = 1;
             upstream.lastUnreachableAt.reset();
         }
@@ -89,8 +90,10 @@
             record == records.end() || record->second.phase == UpstreamPhase::Removed;
         return removed && item.second.running.empty();
     });
-    for (auto &[id, service] : m_services)
+    for (auto &[id, service] : m_services) {
+        rejectUnservable(now, id);
         fillFreeSlots(now, id);
+    }
 }
 
 auto Dispatcher::heartbeat(TimePoint now, const UpstreamId &id, Duration coldRemaining) -> void
@@ -126,6 +129,36 @@
     return true;
 }
 
+auto Dispatcher::retire(TimePoint now, const UpstreamId &id, std::chrono::milliseconds startedAt)
+    -> bool
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end() || found->second.record.startedAt != startedAt
+        || std::exchange(found->second.isRetired, true))
+        return false;
+    rejectUnservable(now, found->second.record.service);
+    return true;
+}
+
+auto Dispatcher::isRetired(const UpstreamId &id) const -> bool
+{
+    const auto found = m_upstreams.find(id);
+    return found != m_upstreams.end() && found->second.isRetired;
+}
+
+auto Dispatcher::rejectUnservable(TimePoint now, const ServiceId &id) -> void
+{
+    const auto &service = m_services[id];
+    if (!std::all_of(service.upstreams.begin(), service.upstreams.end(),
+                     [&](const auto &upstream) { return m_upstreams.at(upstream).isRetired; }))
+        return;
+    while (!service.queue.empty()) {
+        const auto request = service.queue.begin()->request;
+        removeFromQueue(m_work.at(request));
+        reject(now, request, RejectReason::NoUpstream, kNoUpstreamRetryAfter);
+    }
+}
+
 auto Dispatcher::submit(TimePoint now, Work work) -> void
 {
     if (const auto known = m_work.find(work.id); known != m_work.end()) {
@@ -281,6 +314,8 @@
 
 auto Dispatcher::isReachable(TimePoint now, const Upstream &upstream) -> bool
 {
+    if (upstream.isRetired)
+        return false;
     const auto reachable = !upstream.lastUnreachableAt
                            || upstream.lastHeartbeat > *upstream.lastUnreachableAt
                            || now - *upstream.lastUnreachableAt > kUnreachableBackoff;
@@ -370,6 +405,8 @@
 
 auto Dispatcher::usableSlots(const Upstream &upstream, const ServiceState &service) const -> double
 {
+    if (upstream.isRetired)
+        return 0;
     const auto slots = static_cast<double>(std::max(upstream.record.slots, 1));
     const auto rate = upstream.rate.perSecond();
     return rate ? std::min(slots, *rate * service.meanDurationSeconds) : slots;
--- a/libs/fleet/src/gateway_attempts.cpp
+++ b/libs/fleet/src/gateway_attempts.cpp
@@ -75,6 +75,8 @@
     call->headReceived = true;
     call->lastByteAt = now;
     reportStatement(now, *call);
+    if (head.isLeaving)
+        reportLeaving(now, *call);
 }
 
 auto Gateway::reportStatement(TimePoint now, const Call &call) -> void
@@ -94,14 +96,50 @@
     if (report == StatementReport::None)
         return;
     fb::UpstreamStatementT statement;
+    if (call.head.statedRate)
+        statement.rate = *call.head.statedRate;
+    sendStatement(call, std::move(statement));
+}
+
+auto Gateway::sendStatement(const Call &call, fb::UpstreamStatementT statement) -> void
+{
     statement.upstream = call.upstream.value;
     statement.born = call.upstreamStartedAt.count();
     statement.request = call.admission;
-    if (call.head.statedRate)
-        statement.rate = *call.head.statedRate;
     sendToLeader(Message(std::move(statement)));
 }
 
+auto Gateway::reportLeaving(TimePoint now, const Call &call) -> void
+{
+    const UpstreamIncarnation upstream{call.upstream, call.upstreamStartedAt};
+    const auto isKnown = m_statements.isLeaving(upstream);
+    if (!m_statements.noteLeaving(now, upstream))
+        return;
+    if (!isKnown)
+        m_log.add(now, LogImportance::Important, "upstreams", "leaving_seen",
+                  {{"upstream", call.upstream.value},
+                   {"request", call.request.name},
+                   {"status", call.head.status},
+                   {"leader_known", m_link.leader() ? 1 : 0}});
+    fb::UpstreamStatementT statement;
+    statement.leaving = true;
+    sendStatement(call, std::move(statement));
+}
+
+auto Gateway::returnGrant(TimePoint now, Call &call) -> void
+{
+    m_metrics.count("heathergate_grants_returned_total", {});
+    m_log.add(now, LogImportance::Important, "calls", "grant_returned",
+              {{"request", call.request.name},
+               {"upstream", call.upstream.value},
+               {"why", "leaving"},
+               {"term", m_link.term()}});
+    reportOutcome(now, call, AttemptOutcome::Declined, false);
+    call.admittedBefore = true;
+    call.avoid.push_back(call.upstream);
+    submit(now, call);
+}
+
 auto Gateway::attemptData(TimePoint now, AttemptId attempt, std::string_view bytes) -> void
 {
     auto *call = byAttempt(attempt);
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -183,6 +183,9 @@
     call->upstream = UpstreamId(message.upstream);
     call->upstreamStartedAt = std::chrono::milliseconds(message.born);
     call->isUpstreamLimited = message.limited;
+    // A pinned request has run there before, and must not run anywhere else.
+    if (m_statements.isLeaving({call->upstream, call->upstreamStartedAt}) && !call->pinnedUpstream)
+        return returnGrant(now, *call);
     startAttempt(now, *call, *address);
 }
 
--- a/libs/fleet/src/upstream_statements.cpp
+++ b/libs/fleet/src/upstream_statements.cpp
@@ -4,6 +4,30 @@
 
 namespace heathergate::fleet {
 
+namespace {
+
+/// Drops the oldest statement if there are more than `maxCount`.
+template <typename Statements>
+auto dropOldest(Statements &statements, std::size_t maxCount) -> void
+{
+    if (statements.size() <= maxCount)
+        return;
+    statements.erase(
+        std::min_element(statements.begin(), statements.end(), [](const auto &a, const auto &b) {
+            return a.second.statedAt < b.second.statedAt;
+        }));
+}
+
+auto messageAbout(const UpstreamIncarnation &upstream) -> fb::UpstreamStatementT
+{
+    fb::UpstreamStatementT message;
+    message.upstream = upstream.id.value;
+    message.born = upstream.startedAt.count();
+    return message;
+}
+
+} // namespace
+
 auto UpstreamStatements::note(TimePoint now, const UpstreamIncarnation &upstream, TimePoint sentAt,
                               std::optional<double> rate) -> StatementReport
 {
@@ -22,11 +46,20 @@
     statement.statedAt = now;
     if (isDue)
         statement.reportedAt = now;
-    if (m_rates.size() > kMaxStatements)
-        dropOldest();
+    dropOldest(m_rates, kMaxStatements);
     return isDue ? StatementReport::Stated : StatementReport::None;
 }
 
+auto UpstreamStatements::noteLeaving(TimePoint now, const UpstreamIncarnation &upstream) -> bool
+{
+    const auto known = m_leaving.find(upstream);
+    if (known != m_leaving.end() && now - known->second.reportedAt < kReportInterval)
+        return false;
+    m_leaving[upstream] = Statement{0, now, now};
+    dropOldest(m_leaving, kMaxStatements);
+    return true;
+}
+
 auto UpstreamStatements::rateOf(const UpstreamIncarnation &upstream) const -> std::optional<double>
 {
     const auto known = m_rates.find(upstream);
@@ -37,21 +70,16 @@
 {
     std::vector<fb::UpstreamStatementT> statements;
     for (const auto &[upstream, statement] : m_rates) {
-        fb::UpstreamStatementT message;
-        message.upstream = upstream.id.value;
-        message.born = upstream.startedAt.count();
+        auto message = messageAbout(upstream);
         message.rate = statement.rate;
         statements.push_back(std::move(message));
     }
+    for (const auto &[upstream, statement] : m_leaving) {
+        auto message = messageAbout(upstream);
+        message.leaving = true;
+        statements.push_back(std::move(message));
+    }
     return statements;
 }
 
-auto UpstreamStatements::dropOldest() -> void
-{
-    m_rates.erase(
-        std::min_element(m_rates.begin(), m_rates.end(), [](const auto &a, const auto &b) {
-            return a.second.statedAt < b.second.statedAt;
-        }));
-}
-
 } // namespace heathergate::fleet
--- a/libs/fleet/test/control_admission_test.cpp
+++ b/libs/fleet/test/control_admission_test.cpp
@@ -95,4 +95,64 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAnUpstreamStatesThatItIsAboutToEnd)
+
+namespace {
+
+auto ask(Fleet &fleet, const std::string &leader, RequestId request) -> Message
+{
+    fb::AdmissionT admission;
+    admission.request = request;
+    admission.service = "tools";
+    admission.budget = admission.finishIn = -1;
+    admission.timeLeft = admission.patience = 1'000'000;
+    fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(admission)));
+    fleet.run(20ms);
+    const auto answers = fleet.sentTo("g");
+    BOOST_TEST_REQUIRE(!answers.empty());
+    return answers.front();
+}
+
+auto stateLeaving(Fleet &fleet, const std::string &leader, std::int64_t born) -> void
+{
+    fb::UpstreamStatementT statement;
+    statement.upstream = "u";
+    statement.born = born;
+    statement.leaving = true;
+    fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(statement)));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(grantsItToNobodyEvenUnderTheNextLeader)
+{
+    Fleet fleet;
+    auto leader = fleet.waitForLeader();
+    const auto record = upstream("u", 1, 1);
+    fleet.heartbeat(leader, record);
+    fleet.run(50ms);
+    BOOST_TEST(std::holds_alternative<fb::GrantT>(ask(fleet, leader, 1)));
+    stateLeaving(fleet, leader, record.startedAt.count());
+    BOOST_TEST(std::holds_alternative<fb::RefusalT>(ask(fleet, leader, 2)));
+    fleet.heartbeat(leader, upstream("u", 1, 2));
+    fleet.run(50ms);
+    BOOST_TEST(std::holds_alternative<fb::RefusalT>(ask(fleet, leader, 3)));
+    fleet.kill(leader);
+    leader = fleet.waitForLeader();
+    fleet.run(50ms);
+    BOOST_TEST(std::holds_alternative<fb::RefusalT>(ask(fleet, leader, 4)));
+}
+
+BOOST_AUTO_TEST_CASE(grantsTheNextIncarnationDespiteALateStatementOfTheFormer)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 2, 1));
+    fleet.run(50ms);
+    stateLeaving(fleet, leader, upstream("u", 1, 1).startedAt.count());
+    BOOST_TEST(std::holds_alternative<fb::GrantT>(ask(fleet, leader, 1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/fleet/test/dispatcher_test.cpp
+++ b/libs/fleet/test/dispatcher_test.cpp
@@ -334,6 +334,47 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAnUpstreamStatesThatItIsAboutToEnd)
+
+BOOST_AUTO_TEST_CASE(placesNothingThereAnyMore)
+{
+    add("u", kTools, 50);
+    add("v", kTools, 50);
+    BOOST_TEST(dispatcher.retire(now, UpstreamId("u"), std::chrono::milliseconds(1)));
+    BOOST_TEST(!dispatcher.retire(now, UpstreamId("u"), std::chrono::milliseconds(1)));
+    for (int i = 0; i < 20; ++i)
+        submit(work(kTools));
+    const auto names = placedAt();
+    BOOST_TEST(std::count(names.begin(), names.end(), "v") == 20);
+}
+
+BOOST_AUTO_TEST_CASE(rejectsWhatIsQueuedIfItWasTheLastOne)
+{
+    add("u", kTools, 1);
+    submit(work(kTools));
+    submit(work(kTools));
+    BOOST_TEST(placedIds().size() == 1U);
+    dispatcher.retire(now, UpstreamId("u"), std::chrono::milliseconds(1));
+    const auto queued = dispatcher.takeRejections();
+    BOOST_TEST_REQUIRE(queued.size() == 1U);
+    BOOST_TEST((queued.front().reason == RejectReason::NoUpstream));
+    submit(work(kTools));
+    BOOST_TEST(dispatcher.takeRejections().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(usesTheNextIncarnationAgain)
+{
+    add("u", kTools, 1);
+    BOOST_TEST(!dispatcher.retire(now, UpstreamId("u"), std::chrono::milliseconds(0)));
+    dispatcher.retire(now, UpstreamId("u"), std::chrono::milliseconds(1));
+    records[UpstreamId("u")].startedAt = std::chrono::milliseconds(2);
+    dispatcher.setUpstreams(now, records, configuration);
+    submit(work(kTools));
+    BOOST_TEST(placedIds().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenUpstreamsFail)
 
 BOOST_AUTO_TEST_CASE(rejectsImmediatelyWithoutAnyUpstream)
--- a/libs/fleet/test/gateway_fixture.h
+++ b/libs/fleet/test/gateway_fixture.h
@@ -103,16 +103,22 @@
     {
         const auto admissions = take<fb::AdmissionT>();
         BOOST_TEST_REQUIRE(!admissions.empty());
+        grantRequest(admissions.back().request, upstream, born, isLimited);
+        const auto started = take<StartAttempt>();
+        BOOST_TEST_REQUIRE(started.size() == 1U);
+        return started.front();
+    }
+
+    auto grantRequest(std::uint64_t admission, const std::string &upstream, std::int64_t born,
+                      bool isLimited = false) -> void
+    {
         fb::GrantT message;
-        message.request = admissions.back().request;
+        message.request = admission;
         message.upstream = upstream;
         message.address = "127.0.0.1:9000";
         message.born = born;
         message.limited = isLimited;
         m_gateway.receive(m_now, kLeader, PeerFrame(Message(message)));
-        const auto started = take<StartAttempt>();
-        BOOST_TEST_REQUIRE(started.size() == 1U);
-        return started.front();
     }
 
     /// Returns and removes the effects, or the messages to the leader, of one type.
--- a/libs/fleet/test/gateway_statements_test.cpp
+++ b/libs/fleet/test/gateway_statements_test.cpp
@@ -21,6 +21,15 @@
         advance(5ms);
     }
 
+    auto answerLeaving(const std::string &upstream) -> void
+    {
+        request("/safe/1");
+        const auto attempt = grant(upstream).attempt;
+        m_gateway.attemptHead(m_now, attempt, {200, false, true, std::nullopt, true});
+        m_gateway.attemptEnd(m_now, attempt, {true, true, true});
+        advance(5ms);
+    }
+
     auto statements() -> std::vector<fb::UpstreamStatementT>
     {
         return take<fb::UpstreamStatementT>();
@@ -89,4 +98,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAResponseStatesThatItsUpstreamIsAboutToEnd)
+
+BOOST_AUTO_TEST_CASE(tellsTheLeaderAndEachNewLeader)
+{
+    answerLeaving("u");
+    const auto sent = statements();
+    BOOST_TEST_REQUIRE(sent.size() == 1U);
+    BOOST_TEST(sent.front().leaving);
+    BOOST_TEST(sent.front().upstream == "u");
+    feed(InstanceId("10.0.0.2"), 2, 1);
+    const auto again = statements();
+    BOOST_TEST_REQUIRE(again.size() == 1U);
+    BOOST_TEST(again.front().leaving);
+}
+
+BOOST_AUTO_TEST_CASE(sendsNoFurtherRequestThereAndRequestsAnotherPlace)
+{
+    answerLeaving("u");
+    take<fb::CompletionT>();
+    request("/safe/2");
+    const auto admission = take<fb::AdmissionT>().back().request;
+    grantRequest(admission, "u", 1);
+    BOOST_TEST(take<StartAttempt>().empty());
+    const auto returned = take<fb::CompletionT>();
+    BOOST_TEST_REQUIRE(returned.size() == 1U);
+    BOOST_TEST(!returned.front().final);
+    const auto next = take<fb::AdmissionT>();
+    BOOST_TEST_REQUIRE(next.size() == 1U);
+    BOOST_TEST(next.front().avoid.at(0) == "u");
+    grantRequest(admission, "v", 1);
+    BOOST_TEST(take<StartAttempt>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(sendsRequestsToTheNextIncarnation)
+{
+    answerLeaving("u");
+    request("/safe/2");
+    grantRequest(take<fb::AdmissionT>().back().request, "u", 2);
+    BOOST_TEST(take<StartAttempt>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(countsAStreamAtItsHead)
+{
+    request("/stream/1");
+    const auto attempt = grant("u").attempt;
+    m_gateway.attemptHead(m_now, attempt, {200, false, true, std::nullopt, true});
+    request("/stream/2");
+    grantRequest(take<fb::AdmissionT>().back().request, "u", 1);
+    BOOST_TEST(take<StartAttempt>().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
