Limit the bytes that wait for all peers together

Seen by reading, not in a run: messages to a peer that has not answered yet were bounded by number (256) only, and each established connection by 8 MiB, so that 119 peers could hold 950 MB. Change: bytes that wait for a connection count towards its 8 MiB; all connections together hold 24 MiB, beyond that the one with most is closed, and its instance is told as for any lost connection.

--- a/libs/net/include/heathergate/net/peer_links.h
+++ b/libs/net/include/heathergate/net/peer_links.h
@@ -49,6 +49,8 @@
     auto established(Link &link) -> void;
     auto lost(Link &link) -> void;
     auto closeUnresponsive() -> void;
+    /// Closes the connections with the most unsent output until the rest is within the limit.
+    auto limitBacklog() -> void;
 
     EventLoop &m_loop;
     PeerIdentity m_identity;
@@ -62,6 +64,8 @@
     std::map<InstanceId, Link *> m_opening;
     /// Earliest time of the next attempt to open a connection to each instance.
     std::map<InstanceId, TimePoint> m_notBefore;
+    /// Bytes sent since the total backlog was last checked.
+    std::size_t m_uncheckedBytes = 0;
 };
 
 } // namespace heathergate::net
--- a/libs/net/src/peer_links.cpp
+++ b/libs/net/src/peer_links.cpp
@@ -14,6 +14,10 @@
 constexpr Duration kPeerCheckInterval = std::chrono::milliseconds(200);
 /// Output buffered for a peer that does not read; beyond it the connection is closed.
 constexpr std::size_t kMaxPendingOutputBytes = 8 * 1024 * 1024;
+/// Output buffered for all peers together; beyond it the connection with most of it is closed.
+constexpr std::size_t kMaxTotalOutputBytes = 24 * 1024 * 1024;
+/// Bytes sent after which the total is checked again.
+constexpr std::size_t kTotalCheckBytes = 1024 * 1024;
 /// Messages queued until a connection is established; further ones are discarded.
 constexpr std::size_t kMaxQueuedMessages = 256;
 
@@ -53,7 +57,8 @@
     auto send(const std::string &body) -> void
     {
         if (!m_session.isEstablished()) {
-            if (m_queued.size() < kMaxQueuedMessages) {
+            if (m_queued.size() < kMaxQueuedMessages
+                && unsentBytes() + body.size() <= kMaxPendingOutputBytes) {
                 m_queued.push_back(body);
                 m_queuedBytes += body.size();
             }
@@ -159,6 +164,11 @@
 
 auto PeerLinks::send(const InstanceId &to, const Endpoint &address, const std::string &body) -> void
 {
+    m_uncheckedBytes += body.size();
+    if (m_uncheckedBytes >= kTotalCheckBytes) {
+        m_uncheckedBytes = 0;
+        m_loop.defer([this] { limitBacklog(); });
+    }
     if (const auto known = m_byPeer.find(to); known != m_byPeer.end())
         return known->second->send(body);
     if (const auto opening = m_opening.find(to); opening != m_opening.end())
@@ -191,6 +201,17 @@
     return total;
 }
 
+auto PeerLinks::limitBacklog() -> void
+{
+    const auto isSmaller = [](const auto &left, const auto &right) {
+        return left->unsentBytes() < right->unsentBytes();
+    };
+    while (backlog().bytes > kMaxTotalOutputBytes) {
+        const auto largest = *std::max_element(m_links.begin(), m_links.end(), isSmaller);
+        lost(*largest);
+    }
+}
+
 auto PeerLinks::established(Link &link) -> void
 {
     const auto opening = m_opening.find(link.peer());
