Redirect a configuration before it is decoded

Every instance decoded the document (some 0.6 MB) before it redirected the call to the leader. Seen by reading. Test: callsAreRedirectedBeforeTheirContentIsDecoded.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -125,6 +125,10 @@
     /// Begins the shutdown of the instance: transfers leadership and announces that it leaves.
     auto leave(TimePoint now) -> void;
 
+    /// Answers a call if another instance has to, so that its content need not be decoded. Returns
+    /// whether the call was answered.
+    [[nodiscard]] auto answerIfNotLeader(TimePoint now, CallToken token, std::string_view call)
+        -> bool;
     /// Stores a configuration if its version is higher than the active one.
     auto putConfiguration(TimePoint now, CallToken token, const Configuration &configuration,
                           const std::string &document) -> void;
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -42,6 +42,14 @@
     m_output.answers.push_back(std::move(answer));
 }
 
+auto ControlNode::answerIfNotLeader(TimePoint now, CallToken token, std::string_view call) -> bool
+{
+    if (isLeader(now))
+        return false;
+    answerNotLeader(now, token, call);
+    return true;
+}
+
 auto ControlNode::commitAnswer(CallToken token) -> CommitHandler
 {
     return [this, token](TimePoint, bool committed) {
--- a/libs/fleet/test/control_calls_test.cpp
+++ b/libs/fleet/test/control_calls_test.cpp
@@ -107,6 +107,20 @@
     BOOST_TEST(answer->leaderAddress == leader);
 }
 
+BOOST_AUTO_TEST_CASE(callsAreRedirectedBeforeTheirContentIsDecoded)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    const std::string follower = leader == "10.0.0.1" ? "10.0.0.2" : "10.0.0.1";
+    fleet.run(500ms);
+    const auto token = fleet.nextToken();
+    BOOST_TEST(!fleet.node(leader).answerIfNotLeader(fleet.now(), token, "put_configuration"));
+    BOOST_TEST(fleet.node(follower).answerIfNotLeader(fleet.now(), token, "put_configuration"));
+    fleet.run(10ms);
+    BOOST_TEST_REQUIRE(fleet.answer(token).has_value());
+    BOOST_TEST((fleet.answer(token)->status == CallStatus::Redirect));
+}
+
 BOOST_AUTO_TEST_CASE(callsAreNotSentToALeaderThatHasFallenSilent)
 {
     Fleet fleet;
