--- /dev/null
+++ b/libs/fleet/src/dispatcher_upstreams.cpp
@@ -0,0 +1,213 @@
+#include <heathergate/fleet/dispatcher.h>
+
+#include <algorithm>
+#include <cmath>
+
+/// What the dispatcher knows of its upstreams: availability, capacity, and what responses state.
+namespace heathergate::fleet {
+
+namespace {
+
+/// Time from the end of a request at an upstream until the next one arrives there: two network
+/// hops between instances and the leader's processing.
+constexpr Duration kSlotTurnaround = std::chrono::milliseconds(5);
+/// Maximum number of requests in transit beyond the slots, as a fraction of the slots.
+constexpr double kMaxInTransitShare = 0.5;
+/// Pause after an upstream has declined a request for lack of capacity.
+constexpr Duration kDeclinedBackoff = std::chrono::milliseconds(60);
+/// An unreachable upstream is used again after its next heartbeat, or after this time.
+constexpr Duration kUnreachableBackoff = std::chrono::seconds(8);
+/// Weight of the newest sample in exponentially smoothed values.
+constexpr double kSmoothingFactor = 0.1;
+constexpr double kMaxSlowdown = 10;
+
+auto toSeconds(Duration duration) -> double
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+auto Dispatcher::setUpstreams(TimePoint now, const std::map<UpstreamId, UpstreamRecord> &records,
+                              const ActiveConfiguration &configuration) -> void
+{
+    for (auto &[id, service] : m_services)
+        service.upstreams.clear();
+    for (const auto &[id, record] : records) {
+        if (record.phase == UpstreamPhase::Removed)
+            continue;
+        auto &upstream = m_upstreams[id];
+        const auto *service = configuration.service(record.service);
+        const auto *engine = service != nullptr && service->engine ? &*service->engine : nullptr;
+        const auto isNew = upstream.record.startedAt != record.startedAt;
+        if (isNew) {
+            const auto memory = engine == nullptr ? 0 : engine->memoryTokens;
+            upstream.cache = routing::PrefixIndex(memory);
+            upstream.health = {};
+            upstream.rate = {};
+            upstream.isRetired = false;
+            upstream.slowdown = 1;
+            upstream.lastUnreachableAt.reset();
+        }
+        upstream.isEngine = engine != nullptr;
+        upstream.record = record;
+        if (record.phase == UpstreamPhase::Ready)
+            m_services[record.service].upstreams.push_back(id);
+    }
+    std::erase_if(m_upstreams, [&](const auto &item) {
+        const auto record = records.find(item.first);
+        const auto removed =
+            record == records.end() || record->second.phase == UpstreamPhase::Removed;
+        return removed && item.second.running.empty();
+    });
+    for (auto &[id, service] : m_services) {
+        rejectUnservable(now, id);
+        fillFreeSlots(now, id);
+    }
+}
+
+auto Dispatcher::heartbeat(TimePoint now, const UpstreamId &id, Duration coldRemaining) -> void
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    found->second.coldUntil = now + coldRemaining;
+    found->second.lastHeartbeat = now;
+}
+
+auto Dispatcher::limit(TimePoint now, const UpstreamId &id, std::chrono::milliseconds startedAt,
+                       double perSecond) -> bool
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end() || found->second.record.startedAt != startedAt)
+        return false;
+    auto &rate = found->second.rate;
+    const auto before = rate.perSecond();
+    rate.state(now, perSecond);
+    return rate.perSecond() != before;
+}
+
+auto Dispatcher::lift(TimePoint now, RequestId request) -> bool
+{
+    const auto found = m_work.find(request);
+    if (found == m_work.end() || !found->second.placedAt)
+        return false;
+    const auto upstream = m_upstreams.find(*found->second.placedAt);
+    if (upstream == m_upstreams.end() || !upstream->second.rate.lift(found->second.placedTime))
+        return false;
+    fillFreeSlots(now, found->second.work.service);
+    return true;
+}
+
+auto Dispatcher::retire(TimePoint now, const UpstreamId &id, std::chrono::milliseconds startedAt)
+    -> bool
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end() || found->second.record.startedAt != startedAt
+        || std::exchange(found->second.isRetired, true))
+        return false;
+    rejectUnservable(now, found->second.record.service);
+    return true;
+}
+
+auto Dispatcher::isRetired(const UpstreamId &id) const -> bool
+{
+    const auto found = m_upstreams.find(id);
+    return found != m_upstreams.end() && found->second.isRetired;
+}
+
+auto Dispatcher::updateEstimates(TimePoint now, Upstream &upstream, const WorkState &state,
+                                 const AttemptReport &report) -> void
+{
+    switch (report.outcome) {
+    case AttemptOutcome::Answered: {
+        upstream.lastUnreachableAt.reset();
+        upstream.health.succeeded(now);
+        auto &mean = m_services[state.work.service].meanDurationSeconds;
+        mean += kSmoothingFactor * (toSeconds(report.total) - mean);
+        if (state.expected > Duration::zero()) {
+            const auto ratio =
+                std::clamp(toSeconds(report.total) / toSeconds(state.expected), 0.1, kMaxSlowdown);
+            upstream.slowdown += kSmoothingFactor * (ratio - upstream.slowdown);
+        }
+        break;
+    }
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::Broken:
+    case AttemptOutcome::TimedOut:
+        // A single failure does not mark the upstream as unreachable: it may still answer others.
+        upstream.health.failed(now);
+        break;
+    case AttemptOutcome::Unreachable:
+        upstream.lastUnreachableAt = now;
+        upstream.health.timedOut(now);
+        break;
+    case AttemptOutcome::Declined:
+        upstream.declinedUntil = now + kDeclinedBackoff;
+        break;
+    case AttemptOutcome::Cancelled:
+        break;
+    }
+}
+
+auto Dispatcher::isAvailable(TimePoint now, const Upstream &upstream, const Work &work) const
+    -> bool
+{
+    return upstream.running.size() < capacity(upstream) && now >= upstream.declinedUntil
+           && upstream.rate.allows(now) && isReachable(now, upstream)
+           && std::find(work.avoid.begin(), work.avoid.end(), upstream.record.id)
+                  == work.avoid.end();
+}
+
+/// Adds requests in transit to the slots, because a slot is idle between the end of a request and
+/// the arrival of the next. The shorter the requests, the more of them wait in the upstream's
+/// queue.
+auto Dispatcher::capacity(const Upstream &upstream) const -> std::size_t
+{
+    const auto slots = static_cast<double>(std::max(upstream.record.slots, 1));
+    const auto service = m_services.find(upstream.record.service);
+    const auto work = service == m_services.end() ? 1.0 : service->second.meanDurationSeconds;
+    const auto inTransit =
+        slots * toSeconds(kSlotTurnaround) / std::max(work, toSeconds(kSlotTurnaround));
+    return static_cast<std::size_t>(
+        std::lround(slots + std::min(inTransit, slots * kMaxInTransitShare)));
+}
+
+auto Dispatcher::isReachable(TimePoint now, const Upstream &upstream) -> bool
+{
+    if (upstream.isRetired)
+        return false;
+    const auto reachable = !upstream.lastUnreachableAt
+                           || upstream.lastHeartbeat > *upstream.lastUnreachableAt
+                           || now - *upstream.lastUnreachableAt > kUnreachableBackoff;
+    return reachable && upstream.health.isAvailable(now);
+}
+
+auto Dispatcher::hasReachableUpstream(TimePoint now, const Work &work) const -> bool
+{
+    const auto service = m_services.find(work.service);
+    if (service == m_services.end())
+        return false;
+    return std::any_of(service->second.upstreams.begin(), service->second.upstreams.end(),
+                       [&](const UpstreamId &id) { return isReachable(now, m_upstreams.at(id)); });
+}
+
+auto Dispatcher::hasFreeSlot(TimePoint now, const ServiceState &service) const -> bool
+{
+    static const Work kUnconstrainedWork;
+    return std::any_of(service.upstreams.begin(), service.upstreams.end(),
+                       [&](const UpstreamId &id) {
+                           return isAvailable(now, m_upstreams.at(id), kUnconstrainedWork);
+                       });
+}
+
+auto Dispatcher::usableSlots(const Upstream &upstream, const ServiceState &service) const -> double
+{
+    if (upstream.isRetired)
+        return 0;
+    const auto slots = static_cast<double>(std::max(upstream.record.slots, 1));
+    const auto rate = upstream.rate.perSecond();
+    return rate ? std::min(slots, *rate * service.meanDurationSeconds) : slots;
+}
+
+} // namespace heathergate::fleet
