Hold tokens of a quarter of a second for an upstream that states a rate

Cause: a bucket of one second was taken on the argument that pauses of the load should be made up for. Change: the quarter of a second again.

--- a/libs/fleet/include/heathergate/fleet/stated_rate.h
+++ b/libs/fleet/include/heathergate/fleet/stated_rate.h
@@ -34,8 +34,8 @@
     /// Rate at which requests are sent even if less is stated; their answers show when the limit
     /// has ended.
     static constexpr double kMinPerSecond = 0.5;
-    /// Time whose tokens the bucket holds, so that a short pause in the load is made up for.
-    static constexpr std::chrono::duration<double> kBurstTime = std::chrono::seconds(1);
+    /// Time whose tokens the bucket holds.
+    static constexpr std::chrono::duration<double> kBurstTime = std::chrono::milliseconds(250);
 
     [[nodiscard]] auto tokensAt(TimePoint now) const -> double;
 
