Check in the soak that gateways keep away from leaving upstreams

The soak's upstreams state in all answers, heads of streams and refusals included, that they are about to end; the soak records when a gateway passed that on, and reports a request that was sent through it more than two seconds later and reached that upstream, also while control instances are disturbed. A gateway that was disturbed since is excused, which excuses more than restarts and freezes. Tests: two in ObservationsTest.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -276,6 +276,8 @@
     answer.signature = head.headers.value(header::kSignature);
     answer.body = m_exchange.body;
     answer.at = m_loop.now();
+    if (head.headers.value(header::kLeaving) == "1")
+        answer.leaving = Upstream::idOf(answer.signature);
     m_observations.answered(answer);
     const auto isCompleteStream =
         issued.kind == RequestKind::Turn && end.complete && head.status == 200;
--- a/soak/observations.cpp
+++ b/soak/observations.cpp
@@ -48,6 +48,7 @@
     m_runTimes[run.customer].push_back(run.at);
     checkRun(request->second, run, runs.size());
     checkTimely(request->second, run, runs.size());
+    checkToldLeaving(request->second.issued, run);
     checkRefusal(run.id);
 }
 
@@ -96,6 +97,16 @@
                         run.id + " reached " + run.upstream.value);
 }
 
+auto Observations::checkToldLeaving(const IssuedRequest &issued, const ObservedRun &run) -> void
+{
+    const auto told = m_toldLeaving.find({issued.gateway, run.upstream});
+    if (told == m_toldLeaving.end() || issued.sentAt <= told->second + kPropagationLimit
+        || !m_disturbances.isUndisturbed(issued.gateway.value, told->second, run.at))
+        return;
+    reportViolation("no new work at an upstream that has stated that it leaves",
+                    run.id + " reached " + run.upstream.value + " through " + issued.gateway.value);
+}
+
 auto Observations::checkRefusal(const std::string &id) -> void
 {
     const auto &request = m_requests.at(id);
@@ -135,6 +146,8 @@
         return reportViolation("unknown answer", answer.id);
     ++m_byStatus[answer.complete ? answer.status : 0];
     request->second.answer = answer;
+    if (!answer.leaving.empty())
+        m_toldLeaving.try_emplace({request->second.issued.gateway, answer.leaving}, answer.at);
     checkRefusal(answer.id);
     if (answer.status == kUnknownKey)
         checkDenial(request->second);
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -63,6 +63,8 @@
     std::string signature;
     std::string body;
     TimePoint at{};
+    /// Upstream whose answer it is and which states in it that it is about to end; empty otherwise.
+    UpstreamId leaving;
 };
 
 /// The disturbances of a run by subject: a host or one of the groups below. Invariants with a time
@@ -165,6 +167,8 @@
     auto upstreamRestarted(const UpstreamId &upstream) -> void
     {
         m_leaving.erase(upstream);
+        std::erase_if(m_toldLeaving,
+                      [&](const auto &item) { return item.first.second == upstream; });
     }
 
     // Configurations.
@@ -215,6 +219,9 @@
 
     auto checkRun(const Request &request, const ObservedRun &run, std::size_t runs) -> void;
     auto checkTimely(const Request &request, const ObservedRun &run, std::size_t runs) -> void;
+    /// Checks that a gateway keeps away from an upstream whose answer it has passed on, also while
+    /// the control instances are disturbed.
+    auto checkToldLeaving(const IssuedRequest &issued, const ObservedRun &run) -> void;
     auto checkRefusal(const std::string &id) -> void;
     auto checkDenial(const Request &request) -> void;
 
@@ -229,6 +236,8 @@
     std::map<std::string, TimePoint> m_withdrawn;
     std::map<std::string, TimePoint> m_given;
     std::map<UpstreamId, TimePoint> m_leaving;
+    /// Times at which gateways first passed on that an upstream is about to end.
+    std::map<std::pair<InstanceId, UpstreamId>, TimePoint> m_toldLeaving;
     std::map<std::uint64_t, std::string> m_sent;
     std::map<std::uint64_t, TimePoint> m_acknowledged;
     std::map<int, std::size_t> m_byStatus;
--- a/soak/test/observations_test.cpp
+++ b/soak/test/observations_test.cpp
@@ -29,7 +29,7 @@
 
     auto answer(const std::string &id, int status, const std::string &body = {}) -> void
     {
-        observations.answered({id, status, true, "proof", body, now});
+        observations.answered({id, status, true, "proof", body, now, {}});
     }
 
     [[nodiscard]] auto violatedInvariants() const -> std::vector<std::string>
@@ -181,6 +181,33 @@
     BOOST_TEST(violatedInvariants() == Invariants{"no new work at a leaving upstream"});
 }
 
+BOOST_AUTO_TEST_CASE(reportsWorkThatAGatewaySendsToAnUpstreamWhoseLeavingItHasPassedOn)
+{
+    issue("first");
+    observations.answered({"first", 503, true, {}, {}, now, UpstreamId("u")});
+    disturbances.record("control", now, now + 10s);
+    now += 1s;
+    issue("soon");
+    observations.ran(runOf("soon"));
+    BOOST_TEST(violatedInvariants().empty());
+    now += 2s;
+    issue("late");
+    observations.ran(runOf("late"));
+    BOOST_TEST(violatedInvariants()
+               == Invariants{"no new work at an upstream that has stated that it leaves"});
+}
+
+BOOST_AUTO_TEST_CASE(acceptsSuchWorkOfAGatewayThatHasRestarted)
+{
+    issue("first");
+    observations.answered({"first", 503, true, {}, {}, now, UpstreamId("u")});
+    disturbances.record("gateway", now + 1s, now + 1s);
+    now += 3s;
+    issue("late");
+    observations.ran(runOf("late"));
+    BOOST_TEST(violatedInvariants().empty());
+}
+
 BOOST_AUTO_TEST_CASE(reportsACustomerOverItsRate)
 {
     observations.setRateLimit("customer", {2, 2});
--- a/soak/upstream.cpp
+++ b/soak/upstream.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kEventInterval = std::chrono::milliseconds(12);
 constexpr Duration kMinCallTime = std::chrono::milliseconds(5);
 constexpr std::uint64_t kCallTimeSpreadMs = 40;
+/// Separates the identifier of the upstream from that of the request in a signature.
+constexpr char kSignatureMark = '.';
 /// Time that an upstream serves after its drain was acknowledged.
 constexpr Duration kDrainTime = std::chrono::milliseconds(3500);
 constexpr Duration kRestartDelay = std::chrono::milliseconds(500);
@@ -161,12 +163,28 @@
         beginCall(exchange, request);
 }
 
+auto Upstream::answerHeaders(const std::string &request) const -> net::HeaderList
+{
+    net::HeaderList headers{{std::string(header::kSignature), m_id + kSignatureMark + request},
+                            {std::string(header::kRequestId), request}};
+    if (m_state != State::Ready)
+        headers.add(std::string(header::kLeaving), "1");
+    return headers;
+}
+
+auto Upstream::idOf(const std::string &signature) -> UpstreamId
+{
+    return UpstreamId(signature.substr(0, signature.find(kSignatureMark)));
+}
+
 auto Upstream::decline(net::ExchangeId exchange) -> void
 {
     constexpr int kUnavailable = 503;
     net::HttpResponse response;
     response.status = kUnavailable;
     response.headers.add(std::string(header::kNotExecuted), "1");
+    if (m_state != State::Ready)
+        response.headers.add(std::string(header::kLeaving), "1");
     m_server->respond(exchange, response);
 }
 
@@ -198,13 +216,11 @@
     running.nextEvent = number + 1;
     running.timer = m_loop.at(m_loop.now() + scaled(kFirstEventDelay),
                               [this, exchange] { sendEvent(exchange); });
-    const auto signature = m_id + "." + running.request;
-    m_observations.produced(running.request, signature, {});
+    auto answer = answerHeaders(running.request);
+    answer.add("Content-Type", "text/event-stream");
+    m_observations.produced(running.request, std::string(answer.value(header::kSignature)), {});
     m_running[exchange] = std::move(running);
-    m_server->beginStream(exchange, 200,
-                          {{std::string(header::kSignature), signature},
-                           {std::string(header::kRequestId), m_running[exchange].request},
-                           {"Content-Type", "text/event-stream"}});
+    m_server->beginStream(exchange, 200, answer);
 }
 
 auto Upstream::sendEvent(net::ExchangeId exchange) -> void
@@ -246,11 +262,10 @@
     net::HttpResponse response;
     if (m_random.unit() < m_faults.failShare)
         response.status = kFailure;
-    const auto signature = m_id + "." + running.request;
-    response.headers.add(std::string(header::kSignature), signature);
-    response.headers.add(std::string(header::kRequestId), running.request);
+    response.headers = answerHeaders(running.request);
     response.body = running.request + std::string(m_random.below(kMaxBodyBytes), 'x');
-    m_observations.produced(running.request, signature, response.body);
+    m_observations.produced(running.request,
+                            std::string(response.headers.value(header::kSignature)), response.body);
     if (running.truncates) {
         m_server->beginStream(exchange, 200, response.headers);
         m_server->write(exchange, response.body.substr(0, response.body.size() / 2));
--- a/soak/upstream.h
+++ b/soak/upstream.h
@@ -51,6 +51,8 @@
     auto crash() -> void;
     /// Starts the upstream unless it is running, under its former identifier if `sameId`.
     auto restart(bool sameId) -> void;
+    /// Returns the upstream that a signature belongs to.
+    [[nodiscard]] static auto idOf(const std::string &signature) -> UpstreamId;
     /// Announces a drain, serves for a while, leaves, and restarts under a new identifier.
     auto drain() -> void;
     auto setFaults(const UpstreamFaults &faults) -> void
@@ -94,6 +96,8 @@
 
     auto listen() -> void;
     auto requested(net::ExchangeId exchange, const net::HttpRequest &request) -> void;
+    /// Returns the headers that every answer to a request carries.
+    [[nodiscard]] auto answerHeaders(const std::string &request) const -> net::HeaderList;
     auto decline(net::ExchangeId exchange) -> void;
     auto observe(const net::HttpRequest &request) -> void;
     auto beginStream(net::ExchangeId exchange, const net::HttpRequest &request) -> void;
