--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -158,6 +158,8 @@
     std::optional<double> statedRate = std::nullopt;
     /// The upstream states that it is about to end.
     bool isLeaving = false;
+    /// A statement whose value cannot be read; empty if there is none.
+    std::string unreadableStatement = {};
 };
 
 /// Result of an exchange with an upstream.
@@ -295,8 +297,8 @@
     auto submit(TimePoint now, Call &call) -> void;
     [[nodiscard]] auto admissionOf(TimePoint now, const Call &call) const -> fb::AdmissionT;
     auto startAttempt(TimePoint now, Call &call, const Endpoint &address) -> void;
-    /// Reports what the head of a response states about its upstream.
-    auto reportStatement(TimePoint now, const Call &call) -> void;
+    /// Reports the rate that the head of a response states, or that it states none any more.
+    auto reportRate(TimePoint now, const Call &call) -> void;
     auto reportLeaving(TimePoint now, const Call &call) -> void;
     /// Tells the leader what the response to a call stated.
     auto sendStatement(const Call &call, fb::UpstreamStatementT statement) -> void;
--- a/libs/fleet/src/gateway_attempts.cpp
+++ b/libs/fleet/src/gateway_attempts.cpp
@@ -74,13 +74,22 @@
     call->head = head;
     call->headReceived = true;
     call->lastByteAt = now;
-    reportStatement(now, *call);
+    if (!head.unreadableStatement.empty())
+        m_log.add(now, LogImportance::Important, "upstreams", "statement_unreadable",
+                  {{"upstream", call->upstream.value},
+                   {"request", call->request.name},
+                   {"statement", head.unreadableStatement}});
+    reportRate(now, *call);
     if (head.isLeaving)
         reportLeaving(now, *call);
 }
 
-auto Gateway::reportStatement(TimePoint now, const Call &call) -> void
+auto Gateway::reportRate(TimePoint now, const Call &call) -> void
 {
+    // Only the upstream itself can tell that its limit has ended.
+    const auto isOwnResponse = call.head.isAuthentic && !call.head.declined;
+    if (!call.head.statedRate && !(isOwnResponse && call.head.unreadableStatement.empty()))
+        return;
     const UpstreamIncarnation upstream{call.upstream, call.upstreamStartedAt};
     const auto isKnown = m_statements.rateOf(upstream).has_value();
     auto report = m_statements.note(now, upstream, call.sentAt, call.head.statedRate);
--- a/libs/fleet/test/gateway_statements_test.cpp
+++ b/libs/fleet/test/gateway_statements_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway_fixture.h"
 
+#include <array>
+
 using namespace heathergate;
 using namespace heathergate::fleet;
 using namespace heathergate::fleet::test;
@@ -7,6 +9,8 @@
 
 namespace {
 
+constexpr int kOk = 200;
+
 struct StatementFixture : ConnectedFixture
 {
     /// Sends a request to an upstream whose response states `rate`.
@@ -90,6 +94,25 @@
     BOOST_TEST(statements().empty());
 }
 
+BOOST_AUTO_TEST_CASE(doesNotTakeAResponseThatIsNotTheUpstreamsOwnAsTheEndOfTheLimit)
+{
+    constexpr int kMisdirected = 421;
+    const std::array<AttemptHead, 3> heads{
+        AttemptHead{kOk, false, false}, AttemptHead{kMisdirected, true, false},
+        AttemptHead{kOk, false, true, std::nullopt, false, "Server-Limit: many"}};
+    for (const auto &head : heads) {
+        answer("u", 7.4);
+        statements();
+        request("/safe/1");
+        const auto attempt = grant("u", 1, true).attempt;
+        advance(5ms);
+        m_gateway.attemptHead(m_now, attempt, head);
+        m_gateway.attemptEnd(m_now, attempt, {true, true, true});
+        BOOST_TEST(statements().empty(),
+                   "status " << head.status << ", signed " << head.isAuthentic);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(tellsALeaderThatLearntOfTheRateFromOthers)
 {
     answer("u", std::nullopt, true);
