Bound the encoded changes that the leader holds for gateways

Seen by reading: each gateway may have a part of another version, and each keeps its encoded change alive until it has received it; 60 gateways that begin at 60 versions of 1 MiB held 53 MB. The limit of 512 KiB covers only what is on its way. Change: while 4 MiB are held no further change is encoded; the gateways that need one keep their place in the queue until others have ended. What a silent gateway has received of an older version is given up. Test: limitsTheBytesOfAllChangesThatItHoldsIfEachIsSentAnotherOne, red on the code before (53,477,622 bytes, 5,242,980 allowed); it also checks that every gateway gets the newest version.

--- a/libs/fleet/include/heathergate/fleet/configuration_sender.h
+++ b/libs/fleet/include/heathergate/fleet/configuration_sender.h
@@ -32,6 +32,8 @@
     static constexpr std::size_t kMaxPieceBytes = 32UL * 1024;
     /// Limit of the unconfirmed bytes of all gateways together.
     static constexpr std::size_t kMaxBytesInFlight = 512UL * 1024;
+    /// Bytes of encoded changes from which on no further one is begun until others have ended.
+    static constexpr std::size_t kMaxBytesHeld = 4UL * 1024 * 1024;
     /// Time after which a piece without confirmation no longer counts as on its way. Its gateway is
     /// sent nothing until it reports again.
     static constexpr Duration kPieceTimeout = std::chrono::milliseconds(700);
@@ -52,6 +54,8 @@
     {
         return m_bytesInFlight;
     }
+    /// Returns the bytes of all encoded changes in memory.
+    [[nodiscard]] auto bytesHeld() const -> std::size_t;
 
 private:
     /// An encoded change, shared by all gateways that are sent it.
@@ -88,8 +92,9 @@
     auto release(Target &target) -> void;
     auto expirePieces(TimePoint now) -> void;
     [[nodiscard]] auto bodyFrom(std::uint64_t base, const BodySource &source) -> BodyPtr;
-    /// Selects the change to send; keeps one of which the gateway already has a part.
-    auto selectBody(Target &target, const BodySource &source) -> void;
+    /// Selects the change to send; keeps one of which the gateway already has a part. Returns
+    /// whether there is one: it has to wait while too many others are held.
+    [[nodiscard]] auto selectBody(Target &target, const BodySource &source) -> bool;
 
     std::uint64_t m_version = 0;
     std::map<InstanceId, Target> m_targets;
@@ -97,6 +102,8 @@
     std::deque<InstanceId> m_queue;
     /// Changes to the active version, by their base.
     std::map<std::uint64_t, BodyPtr> m_bodies;
+    /// All changes that are cached or being sent.
+    std::vector<std::weak_ptr<const Body>> m_held;
     std::size_t m_bytesInFlight = 0;
     /// Time at which the oldest unconfirmed piece may time out.
     TimePoint m_nextExpiry = TimePoint::max();
--- a/libs/fleet/src/configuration_sender.cpp
+++ b/libs/fleet/src/configuration_sender.cpp
@@ -13,8 +13,11 @@
 {
     m_version = version;
     m_bodies.clear();
-    for (auto &[gateway, target] : m_targets)
+    for (auto &[gateway, target] : m_targets) {
+        if (target.isSilent)
+            target.transfer.reset();
         enqueue(gateway, target);
+    }
 }
 
 auto ConfigurationSender::reported(const InstanceId &gateway, std::uint64_t inForce) -> void
@@ -87,6 +90,8 @@
         if (now - target.sentAt >= kPieceTimeout) {
             release(target);
             target.isSilent = true;
+            if (target.transfer && target.transfer->body->version != m_version)
+                target.transfer.reset();
         } else {
             m_nextExpiry = std::min(m_nextExpiry, target.sentAt + kPieceTimeout);
         }
@@ -105,24 +110,46 @@
     body.version = m_version;
     body.bytes = source(base);
     body.digest = hash64(body.bytes);
-    return m_bodies[base] = std::make_shared<const Body>(std::move(body));
+    const auto held = std::make_shared<const Body>(std::move(body));
+    std::erase_if(m_held, [](const auto &item) { return item.expired(); });
+    m_held.push_back(held);
+    return m_bodies[base] = held;
+}
+
+auto ConfigurationSender::bytesHeld() const -> std::size_t
+{
+    std::size_t bytes = 0;
+    for (const auto &item : m_held) {
+        if (const auto body = item.lock())
+            bytes += body->bytes.size();
+    }
+    return bytes;
 }
 
-auto ConfigurationSender::selectBody(Target &target, const BodySource &source) -> void
+auto ConfigurationSender::selectBody(Target &target, const BodySource &source) -> bool
 {
     const auto base = target.needsComplete ? 0 : target.inForce;
     const auto isUsable =
         target.transfer && target.transfer->body->version > target.inForce
         && (target.transfer->body->base == base || target.transfer->body->base == 0)
         && (target.transfer->body->version == m_version || target.transfer->offset > 0);
-    if (!isUsable)
-        target.transfer = Transfer{bodyFrom(base, source), 0};
+    if (isUsable)
+        return true;
+    target.transfer.reset();
+    if (!m_bodies.contains(base) && bytesHeld() >= kMaxBytesHeld) {
+        m_bodies.clear();
+        if (bytesHeld() >= kMaxBytesHeld)
+            return false;
+    }
+    target.transfer = Transfer{bodyFrom(base, source), 0};
+    return true;
 }
 
 auto ConfigurationSender::takePieces(TimePoint now, const BodySource &source) -> std::vector<Piece>
 {
     expirePieces(now);
     std::vector<Piece> pieces;
+    std::deque<InstanceId> deferred;
     while (!m_queue.empty() && m_bytesInFlight < kMaxBytesInFlight) {
         const auto gateway = m_queue.front();
         m_queue.pop_front();
@@ -133,7 +160,11 @@
         target.isQueued = false;
         if (target.inForce >= m_version || target.bytesInFlight > 0 || target.isSilent)
             continue;
-        selectBody(target, source);
+        if (!selectBody(target, source)) {
+            target.isQueued = true;
+            deferred.push_back(gateway);
+            continue;
+        }
         const auto &[body, offset] = *target.transfer;
         Piece piece;
         piece.to = gateway;
@@ -149,6 +180,7 @@
         m_nextExpiry = std::min(m_nextExpiry, now + kPieceTimeout);
         pieces.push_back(std::move(piece));
     }
+    m_queue.insert(m_queue.begin(), deferred.begin(), deferred.end());
     return pieces;
 }
 
--- a/libs/fleet/test/configuration_sender_test.cpp
+++ b/libs/fleet/test/configuration_sender_test.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <heathergate/fleet/configuration_sender.h>
+#include <map>
 
 using namespace heathergate;
 using namespace heathergate::fleet;
@@ -148,6 +149,44 @@
     BOOST_TEST(done.size() == 300U);
 }
 
+BOOST_AUTO_TEST_CASE(limitsTheBytesOfAllChangesThatItHoldsIfEachIsSentAnotherOne)
+{
+    constexpr std::size_t kGateways = 60;
+    m_completeBytes = 1024UL * 1024;
+    std::map<InstanceId, std::uint64_t> inForce;
+    std::size_t most = 0;
+    for (std::size_t i = 1; i <= kGateways; ++i) {
+        activate(i);
+        inForce[gatewayNumber(i)] = 0;
+        m_sender.reported(gatewayNumber(i), 0);
+        const auto next = pieces();
+        // One in four does not confirm its first piece.
+        for (const auto &piece : next) {
+            if (hash64(piece.to.value) % 4 != 0)
+                confirm(piece, 0, piece.message.offset + piece.message.bytes.size());
+        }
+        most = std::max(most, m_sender.bytesHeld());
+    }
+    const auto end = m_now + 60s;
+    while (m_now < end) {
+        for (const auto &piece : pieces()) {
+            const auto received = piece.message.offset + piece.message.bytes.size();
+            if (received == piece.message.size)
+                inForce[piece.to] = piece.message.version;
+            confirm(piece, inForce[piece.to], received);
+        }
+        most = std::max(most, m_sender.bytesHeld());
+        m_now += 10ms;
+        if (m_now.time_since_epoch() % 1s == Duration::zero()) {
+            for (const auto &[gateway, version] : inForce)
+                m_sender.reported(gateway, version);
+        }
+    }
+    BOOST_TEST(most <= Sender::kMaxBytesHeld + m_completeBytes + 100);
+    for (const auto &[gateway, version] : inForce)
+        BOOST_TEST(version == kGateways, gateway.value << " has version " << version);
+}
+
 BOOST_AUTO_TEST_CASE(doesNotLetSilentOnesHoldUpTheOthers)
 {
     activate(3);
