Keep a program new whose first turn was refused

Cause: a program counted as started once a budget entry existed, and a refused first turn leaves one with nothing spent; at its next try the program went before those that had not been refused, too late to end in time, and took slots of programs that could. Change: a program has started if it has generated tokens or has another reservation than that of the request itself. Test: doesNotCountAProgramAsStartedWhoseFirstTurnWasRefused; it needs the question that is new here.

--- a/libs/fleet/include/heathergate/fleet/fleet_state.h
+++ b/libs/fleet/include/heathergate/fleet/fleet_state.h
@@ -107,6 +107,9 @@
     {
         return m_budgets;
     }
+    /// Returns whether a program has generated tokens or has a reservation, apart from that of
+    /// `request`.
+    [[nodiscard]] auto hasStarted(const ProgramKey &program, RequestId request) const -> bool;
     /// Returns the admitted requests of each customer within the last `kUsageRetention`.
     [[nodiscard]] auto usage() const
         -> const std::unordered_map<CustomerId, std::deque<CustomerUse>> &
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -62,11 +62,11 @@
     return work;
 }
 
-/// Returns whether the program of a request has already started. The first turn makes the first
-/// reservation of the program's budget; a request without a budget is a call of a running program.
+/// Returns whether the program of a request has already started. A request without a budget is a
+/// call of a running program.
 auto ControlNode::hasStarted(const fb::AdmissionT &message) const -> bool
 {
-    return message.budget < 0 || m_state.budgets().contains(message.program);
+    return message.budget < 0 || m_state.hasStarted(message.program, message.request);
 }
 
 auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::AdmissionT &message) -> void
--- a/libs/fleet/src/fleet_state.cpp
+++ b/libs/fleet/src/fleet_state.cpp
@@ -100,6 +100,15 @@
     return true;
 }
 
+auto FleetState::hasStarted(const ProgramKey &program, RequestId request) const -> bool
+{
+    const auto found = m_budgets.find(program);
+    if (found == m_budgets.end())
+        return false;
+    const auto &outstanding = found->second.outstanding;
+    return found->second.spent > 0 || outstanding.size() > outstanding.count(request);
+}
+
 auto FleetState::settle(GroupTime now, const fb::SettleT &command) -> void
 {
     const auto program = m_budgets.find(command.program);
--- a/libs/fleet/test/fleet_state_test.cpp
+++ b/libs/fleet/test/fleet_state_test.cpp
@@ -113,6 +113,19 @@
     BOOST_TEST(state.budgets().at("c/p").spent == 600);
 }
 
+BOOST_AUTO_TEST_CASE(doesNotCountAProgramAsStartedWhoseFirstTurnWasRefused)
+{
+    BOOST_TEST(!state.hasStarted("c/p", 1));
+    BOOST_TEST(reserve("c/p", 1, 400));
+    BOOST_TEST(!state.hasStarted("c/p", 1), "a next leader is asked about the same request");
+    BOOST_TEST(state.hasStarted("c/p", 2));
+    settle("c/p", 1, 0);
+    BOOST_TEST(!state.hasStarted("c/p", 2));
+    BOOST_TEST(reserve("c/p", 2, 400));
+    settle("c/p", 2, 77);
+    BOOST_TEST(state.hasStarted("c/p", 3));
+}
+
 BOOST_AUTO_TEST_CASE(keepsProgramsOfDifferentCustomersApart)
 {
     BOOST_TEST(reserve("c/p", 1, 900));
