Predict the wait of first turns from the rate at which they get slots

Cause: started programs go first, so that new ones get what these leave, while their expected wait was computed from the slots and the requests ahead; requests that overtake do not show. Change: DrainRate measures how fast waiting first turns get slots; a first turn that would wait longer than it can is refused at once, with that wait as its retry delay. Started programs are predicted as before.

--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <heathergate/fleet/drain_rate.h>
 #include <heathergate/fleet/fleet_state.h>
 #include <heathergate/fleet/poison_register.h>
 #include <heathergate/fleet/stated_rate.h>
@@ -179,6 +180,8 @@
     {
         std::vector<UpstreamId> upstreams;
         std::set<QueueKey> queue;
+        /// How fast first turns of programs get slots, by rank.
+        std::map<int, DrainRate> firstTurns;
         /// Exponentially smoothed duration of a request of this service.
         double meanDurationSeconds = 0.1;
     };
@@ -210,15 +213,18 @@
     [[nodiscard]] auto hasReachableUpstream(TimePoint now, const Work &work) const -> bool;
     [[nodiscard]] static auto queueKeyOf(TimePoint now, const Work &work) -> QueueKey;
     [[nodiscard]] auto hasFreeSlot(TimePoint now, const ServiceState &service) const -> bool;
-    [[nodiscard]] auto expectedWait(const ServiceState &service, const QueueKey &key) const
+    [[nodiscard]] auto expectedWait(TimePoint now, const ServiceState &service,
+                                    const QueueKey &key) const -> Duration;
+    /// Returns the wait that follows from the number of slots and the requests ahead.
+    [[nodiscard]] auto waitForSlots(const ServiceState &service, std::size_t ahead) const
         -> Duration;
     auto place(TimePoint now, WorkState &state, const UpstreamId &upstream) -> void;
     auto reject(TimePoint now, RequestId request, RejectReason reason, Duration retryAfter) -> void;
     auto fillFreeSlots(TimePoint now, const ServiceId &service) -> void;
     /// Rejects the queued requests of a service all of whose upstreams are gone.
     auto rejectUnservable(TimePoint now, const ServiceId &service) -> void;
-    auto enqueue(WorkState &state) -> void;
-    auto removeFromQueue(const WorkState &state) -> void;
+    auto enqueue(TimePoint now, const WorkState &state) -> void;
+    auto removeFromQueue(TimePoint now, const WorkState &state, bool hasSlot) -> void;
     auto updateEstimates(TimePoint now, Upstream &upstream, const WorkState &state,
                          const AttemptReport &report) -> void;
 
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -49,7 +49,7 @@
         return;
     while (!service.queue.empty()) {
         const auto request = service.queue.begin()->request;
-        removeFromQueue(m_work.at(request));
+        removeFromQueue(now, m_work.at(request), false);
         reject(now, request, RejectReason::NoUpstream, kNoUpstreamRetryAfter);
     }
 }
@@ -80,10 +80,10 @@
     if (!hasReachableUpstream(now, state.work))
         return reject(now, id, RejectReason::NoUpstream, kNoUpstreamRetryAfter);
     state.key = queueKeyOf(now, state.work);
-    const auto wait = expectedWait(service, state.key);
+    const auto wait = expectedWait(now, service, state.key);
     if (now + wait > state.work.startBy)
         return reject(now, id, RejectReason::Overload, wait);
-    enqueue(state);
+    enqueue(now, state);
     fillFreeSlots(now, state.work.service);
 }
 
@@ -106,7 +106,7 @@
     m_work.erase(found);
     const auto service = state.work.service;
     if (!state.placedAt) {
-        removeFromQueue(state);
+        removeFromQueue(now, state, false);
         return;
     }
     const auto upstream = m_upstreams.find(*state.placedAt);
@@ -139,8 +139,8 @@
     while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
         const auto request = m_expiries.begin()->second;
         const auto &state = m_work.at(request);
-        const auto wait = expectedWait(m_services[state.work.service], state.key);
-        removeFromQueue(state);
+        const auto wait = expectedWait(now, m_services[state.work.service], state.key);
+        removeFromQueue(now, state, false);
         reject(now, request, RejectReason::Overload, wait);
     }
 }
@@ -203,25 +203,44 @@
     return {work.rank, !work.isStarted, due < now, due, work.id};
 }
 
-auto Dispatcher::expectedWait(const ServiceState &service, const QueueKey &key) const -> Duration
+auto Dispatcher::expectedWait(TimePoint now, const ServiceState &service, const QueueKey &key) const
+    -> Duration
+{
+    const auto place = service.queue.lower_bound(key);
+    const auto ahead = std::distance(service.queue.begin(), place);
+    const auto wait = waitForSlots(service, static_cast<std::size_t>(ahead));
+    const auto rate = service.firstTurns.find(key.rank);
+    if (!key.isNew || rate == service.firstTurns.end())
+        return wait;
+    const auto first = service.queue.lower_bound({key.rank, true, false, TimePoint::min(), 0});
+    const auto aheadInClass = static_cast<std::size_t>(std::distance(first, place));
+    return std::max(wait, rate->second.waitBehind(now, aheadInClass).value_or(Duration::zero()));
+}
+
+auto Dispatcher::waitForSlots(const ServiceState &service, std::size_t ahead) const -> Duration
 {
     double slots = 0;
     for (const auto &id : service.upstreams)
         slots += usableSlots(m_upstreams.at(id), service);
-    const auto ahead = std::distance(service.queue.begin(), service.queue.lower_bound(key));
     const auto rounds = static_cast<double>(ahead + 1) / (slots > 0 ? slots : 1);
     return fromSeconds(rounds * service.meanDurationSeconds);
 }
 
-auto Dispatcher::enqueue(WorkState &state) -> void
+auto Dispatcher::enqueue(TimePoint now, const WorkState &state) -> void
 {
-    m_services[state.work.service].queue.insert(state.key);
+    auto &service = m_services[state.work.service];
+    service.queue.insert(state.key);
+    if (state.key.isNew)
+        service.firstTurns[state.key.rank].joined(now);
     m_expiries.emplace(std::min(state.work.startBy, state.work.deadline), state.work.id);
 }
 
-auto Dispatcher::removeFromQueue(const WorkState &state) -> void
+auto Dispatcher::removeFromQueue(TimePoint now, const WorkState &state, bool hasSlot) -> void
 {
-    m_services[state.work.service].queue.erase(state.key);
+    auto &service = m_services[state.work.service];
+    service.queue.erase(state.key);
+    if (state.key.isNew)
+        service.firstTurns[state.key.rank].left(now, hasSlot);
     m_expiries.erase({std::min(state.work.startBy, state.work.deadline), state.work.id});
 }
 
@@ -292,7 +311,7 @@
             ++skipped; // The request avoids the upstreams that have a free slot.
             continue;
         }
-        removeFromQueue(state);
+        removeFromQueue(now, state, true);
         place(now, state, chosen->record.id);
     }
 }
--- a/libs/fleet/test/dispatcher_test.cpp
+++ b/libs/fleet/test/dispatcher_test.cpp
@@ -244,6 +244,56 @@
 
 /// Simulates twice the load that two engines can process, in programs of four turns, and counts the
 /// programs that finish in time.
+BOOST_AUTO_TEST_SUITE(WhenStartedProgramsUseMostOfTheCapacity)
+
+/// Ten slots of 100 ms serve 100 requests per second. Started programs send 90 of them, and 60 new
+/// programs begin per second, each with a time of 7 s.
+BOOST_AUTO_TEST_CASE(refusesNewOnesImmediatelyAndLeavesNoSlotUnused)
+{
+    constexpr int kSeconds = 20;
+    constexpr Duration kRunTime = 100ms;
+    constexpr Duration kQuarterOfTheTarget = 62ms;
+    add("u", kTools, 10);
+    Random random(7);
+    std::map<RequestId, TimePoint> newOnes;
+    std::multimap<TimePoint, RequestId> running;
+    int refusedLate = 0;
+    int refused = 0;
+    int served = 0;
+    const auto start = now;
+    for (; now < start + kSeconds * 1s; now += 1ms) {
+        while (!running.empty() && running.begin()->first <= now) {
+            const auto id = running.begin()->second;
+            running.erase(running.begin());
+            dispatcher.finish(now, id, {AttemptOutcome::Answered, kRunTime, kRunTime});
+        }
+        if (random.unit() < 0.09)
+            submit(work(kTools));
+        if (random.unit() < 0.06) {
+            auto item = work(kTools);
+            item.isStarted = false;
+            item.finishBy = now + 7s;
+            newOnes[submit(item)] = now;
+        }
+        dispatcher.tick(now);
+        for (const auto id : placedIds()) {
+            running.emplace(now + kRunTime, id);
+            ++served;
+        }
+        for (const auto &rejection : dispatcher.takeRejections()) {
+            const auto found = newOnes.find(rejection.request);
+            BOOST_TEST_REQUIRE((found != newOnes.end()), "a request of a started program");
+            ++refused;
+            refusedLate += now - found->second > kQuarterOfTheTarget ? 1 : 0;
+        }
+    }
+    BOOST_TEST(served >= 95 * kSeconds);
+    BOOST_TEST(refused >= 20 * kSeconds);
+    BOOST_TEST(refusedLate <= refused / 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AtTwiceTheCapacity)
 
 BOOST_AUTO_TEST_CASE(finishesMoreProgramsThanFirstComeFirstServed)
