Serve a request that has arrived on a connection that counts as idle

What callers saw: a request on a kept connection that ended without an answer.

Cause: timers run before sockets are read. The idle timeout, or the end of a drain, closed a connection although a complete request lay unread in its socket: after a pause of the process, or when both fall into one round.

Fix: before an idle connection is closed, the socket is asked for unread input; if there is any, the connection stays and the request is served.

Evidence: both tests of WhenAConnectionCountsAsIdle were red on (1 of 2 requests was served) and pass now.

--- a/libs/net/include/heathergate/net/tcp_stream.h
+++ b/libs/net/include/heathergate/net/tcp_stream.h
@@ -51,6 +51,8 @@
     /// Closes once all output was written to the socket. Until then the stream keeps itself alive
     /// and calls no handlers.
     auto closeAfterWrite() -> void;
+    /// Returns whether the socket holds input that was not read yet.
+    [[nodiscard]] auto hasUnreadInput() const -> bool;
     /// Stops or resumes reading.
     auto setReading(bool reading) -> void;
 
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -121,6 +121,15 @@
         m_server.remove(m_id);
     }
 
+    /// Closes an idle connection, unless a request has arrived on it that was not read yet.
+    auto closeIfUnused() -> void
+    {
+        if (m_stream->hasUnreadInput())
+            armTimer(m_server.m_limits.idleTimeout);
+        else
+            closeNow();
+    }
+
 private:
     [[nodiscard]] auto head(int status, const HeaderList &headers) -> std::string
     {
@@ -230,7 +239,7 @@
             if (m_parser.isInMessage())
                 reject(408);
             else
-                closeNow();
+                closeIfUnused();
         });
     }
 
@@ -337,7 +346,7 @@
             idle.push_back(connection.get());
     }
     for (auto *connection : idle)
-        connection->closeNow();
+        connection->closeIfUnused();
 }
 
 auto HttpServer::stopListening() -> void
--- a/libs/net/src/tcp_stream.cpp
+++ b/libs/net/src/tcp_stream.cpp
@@ -133,6 +133,12 @@
     m_self = shared_from_this();
 }
 
+auto TcpStream::hasUnreadInput() const -> bool
+{
+    char first = 0;
+    return isOpen() && ::recv(m_handle, &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 auto TcpStream::setReading(bool reading) -> void
 {
     if (m_reading == reading || !isOpen())
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -1,5 +1,9 @@
+#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
 #include <heathergate/net/net.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
 
 using namespace heathergate;
 using namespace heathergate::net;
@@ -69,6 +73,63 @@
     }
 };
 
+/// A client whose bytes are sent and received without the event loop, so that what it sends lies in
+/// the server's socket until the loop runs.
+class RawClient
+{
+public:
+    explicit RawClient(const Endpoint &server)
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        struct sockaddr_in address = {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server.port);
+        ::inet_pton(AF_INET, server.host.c_str(), &address.sin_addr);
+        BOOST_TEST_REQUIRE(
+            ::connect(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+    }
+
+    ~RawClient()
+    {
+        ::close(m_socket);
+    }
+
+    RawClient(const RawClient &) = delete;
+    auto operator=(const RawClient &) -> RawClient & = delete;
+
+    /// Returns whether the connection is still open.
+    auto send(const std::string &bytes) const -> bool
+    {
+        return ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0;
+    }
+
+    /// What the client receives until nothing more arrives.
+    struct Received
+    {
+        std::string bytes;
+        bool isClosed = false;
+        bool isReset = false;
+    };
+
+    [[nodiscard]] auto receive() const -> Received
+    {
+        Received received;
+        std::array<char, 4096> buffer;
+        while (true) {
+            const auto size = ::recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            if (size <= 0) {
+                received.isClosed = size == 0;
+                received.isReset = size < 0 && errno == ECONNRESET;
+                return received;
+            }
+            received.bytes.append(buffer.data(), static_cast<std::size_t>(size));
+        }
+    }
+
+private:
+    int m_socket;
+};
+
 const std::string kGet = "GET /a%2fb?q=%41&q=2 HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nx-a: 2\r\n\r\n";
 
 } // namespace
@@ -147,6 +208,45 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAConnectionCountsAsIdle)
+
+BOOST_AUTO_TEST_CASE(servesARequestThatArrivedBeforeItsTimeoutWasNoticed)
+{
+    const RawClient client(address);
+    client.send(kGet);
+    runFor(60ms);
+    server.respond(requests.at(0).first, {200, {}, "first"});
+    runFor(30ms);
+    client.send(kGet);
+    std::this_thread::sleep_for(400ms); // The process does not run, as on a busy machine.
+    runFor(60ms);
+    BOOST_TEST_REQUIRE(requests.size() == 2U);
+    server.respond(requests[1].first, {200, {}, "second"});
+    runFor(30ms);
+    BOOST_TEST(client.receive().bytes.find("second") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(servesARequestThatArrivedBeforeIdleConnectionsWereClosed)
+{
+    const RawClient client(address);
+    client.send(kGet);
+    runFor(60ms);
+    server.respond(requests.at(0).first, {200, {}, "first"});
+    runFor(30ms);
+    client.send(kGet);
+    server.closeAfterResponses();
+    server.closeIdle();
+    runFor(60ms);
+    BOOST_TEST_REQUIRE(requests.size() == 2U);
+    server.respond(requests[1].first, {200, {}, "second"});
+    runFor(60ms);
+    const auto received = client.receive();
+    BOOST_TEST(received.bytes.find("second") != std::string::npos);
+    BOOST_TEST(received.isClosed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenARequestIsNotValid)
 
 BOOST_AUTO_TEST_CASE(refusesAContentLengthWithChunkedEncoding)
