Do not reset a connection that carries its last response

What callers can see: a refusal (400, 413, 431) or a last response that is lost, because the connection is reset while it is on its way.

Cause: after its last response a connection was closed at once. A socket that is closed with unread input resets the connection, and the reset can overtake or discard the response.

Fix: the output is ended, input is read and discarded until the client has closed its side, for a second at most. A connection that is only idle is still closed without reading, so that its client knows that nothing was read.

Evidence: doesNotResetTheConnectionThatCarriesIt is red with the former close (isReset, not isClosed), and passes now.

--- a/libs/net/include/heathergate/net/tcp_stream.h
+++ b/libs/net/include/heathergate/net/tcp_stream.h
@@ -51,6 +51,10 @@
     /// Closes once all output was written to the socket. Until then the stream keeps itself alive
     /// and calls no handlers.
     auto closeAfterWrite() -> void;
+    /// Ends the output once all of it was written to the socket, and closes once the peer has
+    /// closed its side, or after a bounded time. Input is discarded, because a socket that is
+    /// closed with unread input resets the connection, and the reset can overtake the output.
+    auto closeAfterPeer() -> void;
     /// Returns whether the socket holds input that was not read yet.
     [[nodiscard]] auto hasUnreadInput() const -> bool;
     /// Stops or resumes reading.
@@ -93,12 +97,23 @@
     auto updateInterest() -> void;
     auto flush() -> void;
     auto fail(bool clean) -> void;
+    /// Keeps the stream alive without handlers.
+    auto detach() -> void;
+    /// Handles that all output was written to the socket.
+    auto drained() -> void;
+    /// Ends the output and waits for the peer to close.
+    auto awaitPeerClose() -> void;
 
     EventLoop &m_loop;
     ACE_HANDLE m_handle;
     bool m_connected = false;
     bool m_reading = true;
-    bool m_closeWhenDrained = false;
+    /// What follows once all output was written to the socket.
+    enum class WhenDrained { KeepOpen, Close, AwaitPeerClose };
+    WhenDrained m_whenDrained = WhenDrained::KeepOpen;
+    /// The output has ended; input is discarded.
+    bool m_isEnding = false;
+    TimerId m_endTimer = 0;
     bool m_hasWritten = false;
     bool m_flushScheduled = false;
     ACE_Reactor_Mask m_interest = ACE_Event_Handler::NULL_MASK;
@@ -106,7 +121,7 @@
     /// Bytes of `m_output` that were written to the socket.
     std::size_t m_written = 0;
     Handlers m_handlers;
-    /// Keeps the stream alive while it has output to send after `closeAfterWrite`.
+    /// Keeps the stream alive after `closeAfterWrite` and `closeAfterPeer`.
     std::shared_ptr<TcpStream> m_self;
 };
 
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -131,6 +131,13 @@
     }
 
 private:
+    /// Closes the connection after its last response. The client may still be sending.
+    auto closeAfterClient() -> void
+    {
+        std::exchange(m_stream, nullptr)->closeAfterPeer();
+        m_server.remove(m_id);
+    }
+
     [[nodiscard]] auto head(int status, const HeaderList &headers) -> std::string
     {
         m_isLastResponse = m_server.m_closing || m_closeAfterResponse;
@@ -147,7 +154,7 @@
     {
         m_busy = false;
         if (m_isLastResponse)
-            return closeNow();
+            return closeAfterClient();
         m_parser.reset();
         m_stream->setReading(true);
         armTimer(m_server.m_limits.idleTimeout);
--- a/libs/net/src/tcp_stream.cpp
+++ b/libs/net/src/tcp_stream.cpp
@@ -18,6 +18,8 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 constexpr int kListenBacklog = 256;
+/// Maximum time for which the peer may take to close its side after the end of the output.
+constexpr Duration kPeerCloseTimeout = std::chrono::seconds(1);
 
 auto setOption(ACE_HANDLE handle, int level, int name, int value) -> void
 {
@@ -102,6 +104,7 @@
 {
     if (!isOpen())
         return;
+    m_loop.cancel(std::exchange(m_endTimer, 0));
     const auto handle = std::exchange(m_handle, ACE_INVALID_HANDLE);
     m_loop.reactor().remove_handler(handle, ACE_Event_Handler::ALL_EVENTS_MASK
                                                 | ACE_Event_Handler::DONT_CALL);
@@ -126,13 +129,36 @@
 
 auto TcpStream::closeAfterWrite() -> void
 {
-    m_closeWhenDrained = true;
+    m_whenDrained = WhenDrained::Close;
     if (pendingOutput() == 0)
         return close();
+    detach();
+}
+
+auto TcpStream::closeAfterPeer() -> void
+{
+    if (!isOpen())
+        return;
+    m_whenDrained = WhenDrained::AwaitPeerClose;
+    detach();
+    if (pendingOutput() == 0)
+        awaitPeerClose();
+}
+
+auto TcpStream::detach() -> void
+{
     m_loop.defer([handlers = std::make_shared<Handlers>(std::exchange(m_handlers, {}))] {});
     m_self = shared_from_this();
 }
 
+auto TcpStream::awaitPeerClose() -> void
+{
+    m_isEnding = true;
+    static_cast<void>(::shutdown(m_handle, SHUT_WR)); // A connection that has failed ends anyway.
+    m_endTimer = m_loop.at(m_loop.now() + kPeerCloseTimeout, [this] { close(); });
+    setReading(true);
+}
+
 auto TcpStream::hasUnreadInput() const -> bool
 {
     char first = 0;
@@ -185,16 +211,29 @@
     if (pendingOutput() == 0) {
         m_output.clear();
         m_written = 0;
-        if (m_closeWhenDrained)
-            return close();
-        if (m_handlers.onDrained) {
-            const auto self = shared_from_this();
-            self->m_handlers.onDrained();
-        }
+        drained();
     }
     updateInterest();
 }
 
+auto TcpStream::drained() -> void
+{
+    const auto self = shared_from_this();
+    switch (m_whenDrained) {
+    case WhenDrained::KeepOpen:
+        if (m_handlers.onDrained)
+            m_handlers.onDrained();
+        break;
+    case WhenDrained::Close:
+        close();
+        break;
+    case WhenDrained::AwaitPeerClose:
+        if (!m_isEnding)
+            awaitPeerClose();
+        break;
+    }
+}
+
 auto TcpStream::fail(bool clean) -> void
 {
     const auto self = shared_from_this();
@@ -216,7 +255,7 @@
         fail(received == 0);
         return 0;
     }
-    if (m_handlers.onData)
+    if (!m_isEnding && m_handlers.onData)
         m_handlers.onData(std::string_view(buffer.data(), static_cast<std::size_t>(received)));
     return 0;
 }
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -247,6 +247,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenTheLastResponseIsSentBeforeAllInputIsRead)
+
+BOOST_AUTO_TEST_CASE(doesNotResetTheConnectionThatCarriesIt)
+{
+    const RawClient client(address);
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"
+                + std::string(100'000, 'x'));
+    runFor(60ms);
+    const auto received = client.receive();
+    BOOST_TEST(received.bytes.starts_with("HTTP/1.1 413 "));
+    BOOST_TEST(received.isClosed);
+    BOOST_TEST(!received.isReset);
+}
+
+BOOST_AUTO_TEST_CASE(closesTheConnectionOfAClientThatGoesOnSending)
+{
+    const RawClient client(address);
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n");
+    runFor(60ms);
+    const auto endsAt = BootClock().now() + 5s;
+    while (client.send(std::string(1000, 'x')) && BootClock().now() < endsAt)
+        runFor(20ms);
+    BOOST_TEST((BootClock().now() < endsAt));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenARequestIsNotValid)
 
 BOOST_AUTO_TEST_CASE(refusesAContentLengthWithChunkedEncoding)
