Let a draining gateway send its last responses before it ends

What callers can see: a response cut, or a request that is still arriving dropped, when a gateway is stopped.

Cause: a gateway ended as soon as no request was being processed. A response that was handed over, but not yet written to the socket, no longer counted, nor did a request that had not arrived completely. In the round in which it stopped listening it could end before it had read its sockets once more.

Fix: it ends when all callers' connections are closed, with those that still send their last response, or at its deadline as before.

--- a/libs/net/include/heathergate/net/http_server.h
+++ b/libs/net/include/heathergate/net/http_server.h
@@ -82,12 +82,9 @@
     auto closeIdle() -> void;
     auto stopListening() -> void;
 
-    [[nodiscard]] auto connections() const -> std::size_t
-    {
-        return m_connections.size();
-    }
-    /// Returns the number of requests without a complete response.
-    [[nodiscard]] auto openExchanges() const -> std::size_t;
+    /// Returns the number of open connections, including those that are still sending their last
+    /// response.
+    [[nodiscard]] auto connections() const -> std::size_t;
 
 private:
     class Connection;
@@ -96,6 +93,8 @@
     [[nodiscard]] auto find(ExchangeId exchange) -> Connection *;
     auto abandon(std::uint64_t connection) -> void;
     auto remove(std::uint64_t connection) -> void;
+    /// Counts a stream among the connections until it is closed.
+    auto addEnding(const std::shared_ptr<TcpStream> &stream) -> void;
 
     EventLoop &m_loop;
     Handlers m_handlers;
@@ -103,6 +102,8 @@
     bool m_closing = false;
     std::unique_ptr<TcpListener> m_listener;
     std::map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
+    /// Connections that have ended but for their output.
+    std::vector<std::weak_ptr<TcpStream>> m_endingStreams;
     std::uint64_t m_lastConnection = 0;
 };
 
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -117,6 +117,7 @@
     {
         m_busy = false;
         // The stream sends its pending output even after this connection is removed.
+        m_server.addEnding(m_stream);
         std::exchange(m_stream, nullptr)->closeAfterWrite();
         m_server.remove(m_id);
     }
@@ -134,6 +135,7 @@
     /// Closes the connection after its last response. The client may still be sending.
     auto closeAfterClient() -> void
     {
+        m_server.addEnding(m_stream);
         std::exchange(m_stream, nullptr)->closeAfterPeer();
         m_server.remove(m_id);
     }
@@ -361,11 +363,20 @@
     m_listener.reset();
 }
 
-auto HttpServer::openExchanges() const -> std::size_t
+auto HttpServer::addEnding(const std::shared_ptr<TcpStream> &stream) -> void
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_connections.begin(), m_connections.end(),
-                      [](const auto &item) { return item.second->isBusy(); }));
+    std::erase_if(m_endingStreams, [](const auto &known) { return known.expired(); });
+    m_endingStreams.push_back(stream);
+}
+
+auto HttpServer::connections() const -> std::size_t
+{
+    const auto ending =
+        std::count_if(m_endingStreams.begin(), m_endingStreams.end(), [](const auto &known) {
+            const auto stream = known.lock();
+            return stream && stream->isOpen();
+        });
+    return m_connections.size() + static_cast<std::size_t>(ending);
 }
 
 } // namespace heathergate::net
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -247,6 +247,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenTheServerDrains)
+
+BOOST_AUTO_TEST_CASE(countsAConnectionUntilItsLastResponseWasSent)
+{
+    constexpr std::size_t kLong = 8 * 1024 * 1024;
+    connect();
+    runFor(30ms);
+    stream->setReading(false);
+    send(kGet);
+    server.closeAfterResponses();
+    server.respond(requests.at(0).first, {200, {}, std::string(kLong, 'x')});
+    runFor(60ms);
+    BOOST_TEST(server.connections() == 1U);
+    stream->setReading(true);
+    for (int i = 0; i < 50 && !closed; ++i)
+        runFor(20ms);
+    BOOST_TEST(received.size() > kLong);
+    stream->close();
+    runFor(30ms);
+    BOOST_TEST(server.connections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(countsAConnectionWhoseRequestIsArriving)
+{
+    const RawClient client(address);
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na");
+    runFor(30ms);
+    server.closeAfterResponses();
+    server.stopListening();
+    server.closeIdle();
+    runFor(30ms);
+    BOOST_TEST(server.connections() == 1U);
+    client.send("bc");
+    runFor(30ms);
+    BOOST_TEST_REQUIRE(requests.size() == 1U);
+    server.respond(requests[0].first, {200, {}, "x"});
+    runFor(30ms);
+    BOOST_TEST(client.receive().bytes.starts_with("HTTP/1.1 200 "));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenTheLastResponseIsSentBeforeAllInputIsRead)
 
 BOOST_AUTO_TEST_CASE(doesNotResetTheConnectionThatCarriesIt)
--- a/libs/node/include/heathergate/node/gateway_program.h
+++ b/libs/node/include/heathergate/node/gateway_program.h
@@ -10,7 +10,7 @@
 /// - `open() -> Result<void>`
 /// - `execute(fleet::GatewayEffect &)`
 /// - `beginDraining()` and `finishDraining()`
-/// - `openRequests() -> std::size_t`
+/// - `openConnections() -> std::size_t`
 /// - `static directoryTtl(const NodeSettings &) -> Duration`
 template <typename Adapter>
 class GatewayProgram
@@ -92,7 +92,7 @@
         if (m_drainDeadline) {
             if (at >= *m_stopListeningAt && !std::exchange(m_listeningStopped, true))
                 m_adapter.finishDraining();
-            if (at >= *m_drainDeadline || (m_listeningStopped && m_adapter.openRequests() == 0))
+            if (at >= *m_drainDeadline || (m_listeningStopped && m_adapter.openConnections() == 0))
                 m_process.stop(0);
             constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(50);
             next = std::min(next, at + kDrainCheckInterval);
@@ -116,7 +116,7 @@
     Adapter m_adapter;
     /// Time at which a draining gateway stops accepting connections.
     std::optional<TimePoint> m_stopListeningAt;
-    /// Time at which a draining gateway stops even if requests are open.
+    /// Time at which a draining gateway stops even if connections are open.
     std::optional<TimePoint> m_drainDeadline;
     bool m_listeningStopped = false;
 };
