Let a stream go on only at the software version that began it

What callers saw: streams whose events come from two software versions of an upstream, joined with nothing in the answer to show it (ORDER): within one answer, when an attempt broke off, and when callers took a stream up again.

Cause: the version in an upstream's heartbeat and the attempt that a caller names when it resumes a stream were decoded nowhere. Any upstream with a free slot was as good as the one that began the stream. The class: a property of an upstream that decides whether work may move there was not part of what the leader places by.

Ruled out: memory of the gateways (all of them may lose power at once), memory of the leader (it may change), and a record of every stream at all times (a commit between each placement and its grant).

Change: the leader's records of upstreams have the software version. While a service has, or within the last 60 s had, more than one, the replicated log records which version a stream is placed at before its slot is granted; a stream without a record began before the second version was added, if that is recent, and is otherwise unknown. A resumed stream is placed only at its version and is refused at once (code 509, not run) if that has left or is unknown. An upstream that restarts under its name with another version is that other version. 65,536 streams are remembered at most.

--- a/libs/core/include/heathergate/core/result.h
+++ b/libs/core/include/heathergate/core/result.h
@@ -53,6 +53,7 @@
     Draining = 506,
     Timeout = 507,
     HistoryUnavailable = 508,
+    StreamVersionGone = 509,
     // 6xx: storage and peers
     DiskFailed = 600,
     DiskFull = 601,
--- a/libs/core/src/result.cpp
+++ b/libs/core/src/result.cpp
@@ -49,6 +49,8 @@
         {Code::Timeout, "Timeout", 504, "No answer arrived in time."},
         {Code::HistoryUnavailable, "HistoryUnavailable", 503,
          "The earlier turns cannot be read now."},
+        {Code::StreamVersionGone, "StreamVersionGone", 503,
+         "The stream cannot go on; begin it anew."},
         {Code::DiskFailed, "DiskFailed", 500, "A disk operation failed."},
         {Code::DiskFull, "DiskFull", 507, "The disk is full."},
         {Code::DataDamaged, "DataDamaged", 500, "A stored record is damaged."},
--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -198,6 +198,10 @@
         /// The request may have been sent to an upstream, so that only its gateway can settle it.
         bool hasBeenSent = false;
         std::optional<Placement> placement;
+        /// The stream that the request begins or resumes; 0 if it is none.
+        StreamId stream = 0;
+        /// The log does not hold yet which software version runs the stream.
+        bool awaitsRecord = false;
         TimePoint admittedAt{};
     };
 
@@ -279,6 +283,11 @@
     auto reserveBudget(const fb::AdmissionT &message) -> void;
     auto settleBudget(const ProgramKey &program, RequestId request, std::int64_t used) -> void;
     auto reserved(TimePoint now, const ReserveOutcome &outcome) -> void;
+    /// Returns at which software version a stream may go on.
+    [[nodiscard]] auto originOf(TimePoint now, const fb::AdmissionT &message) -> StreamOrigin;
+    /// Records which software version runs a stream, if that is needed to resume it. Its slot is
+    /// granted once the record is committed.
+    auto recordStream(TimePoint now, RequestId request, AdmissionState &state) -> void;
     auto grantIfReady(TimePoint now, RequestId request, AdmissionState &state) -> void;
     auto refuse(TimePoint now, const InstanceId &gateway, RequestId request, Code code,
                 Duration retryAfter) -> void;
--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -36,6 +36,8 @@
     std::vector<UpstreamId> avoid;
     /// Upstream at which the request has to resume, unless that upstream has been removed.
     std::optional<UpstreamId> pinnedUpstream;
+    /// Software version at which a stream that has begun has to go on.
+    StreamOrigin origin;
 };
 
 /// Assigns a request to an upstream.
@@ -53,6 +55,8 @@
     std::chrono::milliseconds startedAt{};
     /// The upstream has stated a limit of its rate.
     bool isLimited = false;
+    /// Version of the upstream's software; empty if it is not known.
+    std::string softwareVersion;
 };
 
 enum class RejectReason {
@@ -62,6 +66,9 @@
     Overload,
     /// The request has repeatedly broken the upstreams that ran it.
     Poison,
+    /// The stream cannot go on: no upstream has the software version that began it, or that version
+    /// is not known.
+    StreamVersionGone,
 };
 
 /// Rejects a request. This attempt of the request has not run.
@@ -211,17 +218,23 @@
                                    Duration waited) const -> Placement;
     [[nodiscard]] static auto isReachable(TimePoint now, const Upstream &upstream) -> bool;
     [[nodiscard]] auto hasReachableUpstream(TimePoint now, const Work &work) const -> bool;
+    /// Returns whether the upstream's software may run the request.
+    [[nodiscard]] static auto isCompatible(const Upstream &upstream, const Work &work) -> bool;
+    /// Returns whether an upstream that accepts requests has software that may run the request.
+    [[nodiscard]] auto hasCompatibleUpstream(const Work &work) const -> bool;
+    /// Returns the upstream at which the request has to resume, if it is still the same.
+    [[nodiscard]] auto pinnedUpstream(const Work &work) const -> const Upstream *;
     [[nodiscard]] static auto queueKeyOf(TimePoint now, const Work &work) -> QueueKey;
     [[nodiscard]] auto hasFreeSlot(TimePoint now, const ServiceState &service) const -> bool;
     [[nodiscard]] auto expectedWait(TimePoint now, const ServiceState &service,
-                                    const QueueKey &key) const -> Duration;
+                                    const WorkState &state) const -> Duration;
     /// Returns the wait that follows from the number of slots and the requests ahead.
-    [[nodiscard]] auto waitForSlots(const ServiceState &service, std::size_t ahead) const
-        -> Duration;
+    [[nodiscard]] auto waitForSlots(const ServiceState &service, const Work &work,
+                                    std::size_t ahead) const -> Duration;
     auto place(TimePoint now, WorkState &state, const UpstreamId &upstream) -> void;
     auto reject(TimePoint now, RequestId request, RejectReason reason, Duration retryAfter) -> void;
     auto fillFreeSlots(TimePoint now, const ServiceId &service) -> void;
-    /// Rejects the queued requests of a service all of whose upstreams are gone.
+    /// Rejects the queued requests of a service for which no upstream is left.
     auto rejectUnservable(TimePoint now, const ServiceId &service) -> void;
     auto enqueue(TimePoint now, const WorkState &state) -> void;
     auto removeFromQueue(TimePoint now, const WorkState &state, bool hasSlot) -> void;
--- a/libs/fleet/include/heathergate/fleet/fleet_state.h
+++ b/libs/fleet/include/heathergate/fleet/fleet_state.h
@@ -2,6 +2,7 @@
 
 #include <heathergate/fleet/configuration_change.h>
 #include <heathergate/fleet/messages.h>
+#include <heathergate/fleet/stream_origins.h>
 
 #include <deque>
 #include <set>
@@ -24,6 +25,8 @@
     /// Number of requests that it runs concurrently.
     int slots = 1;
     UpstreamPhase phase = UpstreamPhase::Ready;
+    /// Version of its software; empty if it is not known.
+    std::string softwareVersion;
     /// Start time of the incarnation, on the upstream's own clock.
     std::chrono::milliseconds startedAt{};
     /// Sequence number of the last heartbeat that changed this record.
@@ -67,8 +70,8 @@
 };
 
 /// The replicated state of every control instance, changed only by committed commands: the active
-/// configuration, the upstreams, the budgets of programs, the recent use of customers' limits, and
-/// the instances that are being retired.
+/// configuration, the upstreams, the budgets of programs, the recent use of customers' limits, the
+/// origins of streams, and the instances that are being retired.
 class FleetState
 {
 public:
@@ -118,6 +121,11 @@
     }
     /// Time for which usage is retained; the maximum quota window that a new leader can restore.
     static constexpr GroupTime kUsageRetention = std::chrono::seconds(15);
+    /// Returns which software versions began the recent streams.
+    [[nodiscard]] auto streams() const -> const StreamOrigins &
+    {
+        return m_streams;
+    }
     [[nodiscard]] auto retiring() const -> const std::set<InstanceId> &
     {
         return m_retiring;
@@ -136,6 +144,8 @@
     [[nodiscard]] auto activate(const ConfigurationChange &change, std::string document)
         -> Result<void>;
     auto setUpstream(GroupTime now, const fb::UpstreamT &upstream) -> void;
+    /// Notes which software versions the upstreams of a service have.
+    auto updateServingVersions(GroupTime now, const ServiceId &service) -> void;
     auto recordUsage(GroupTime now, const fb::CustomerUseT &used) -> void;
     auto removeExpired(GroupTime now) -> void;
 
@@ -146,6 +156,7 @@
     std::uint64_t m_upstreamChanges = 0;
     std::unordered_map<ProgramKey, ProgramBudget> m_budgets;
     std::unordered_map<CustomerId, std::deque<CustomerUse>> m_usage;
+    StreamOrigins m_streams;
     std::set<InstanceId> m_retiring;
     GroupTime m_lastSweep{};
     std::chrono::microseconds m_retention{};
--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -5,6 +5,7 @@
 #include <heathergate/fleet/event_splitter.h>
 #include <heathergate/fleet/leader_link.h>
 #include <heathergate/fleet/peer_frame.h>
+#include <heathergate/fleet/stream_origins.h>
 #include <heathergate/fleet/upstream_statements.h>
 #include <heathergate/history/history_client.h>
 #include <heathergate/telemetry/telemetry.h>
@@ -67,6 +68,9 @@
     std::vector<PromptPart> prompt;
     /// Identifier of the last event that the caller has received, if it resumes a stream.
     std::optional<std::uint64_t> lastEvent;
+    /// The name of the caller's attempt that brought the first event of the stream that it resumes;
+    /// empty if it names none.
+    std::string resumedAttempt;
     /// Identical for requests with the same caller, path and body.
     std::uint64_t fingerprint = 0;
     /// The turn that this one continues; empty for the first turn of a chain.
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -16,6 +16,8 @@
         return Code::QueueFull;
     case RejectReason::Poison:
         return Code::PoisonRequest;
+    case RejectReason::StreamVersionGone:
+        return Code::StreamVersionGone;
     }
     return Code::NoUpstream;
 }
@@ -79,6 +81,7 @@
         state.gateway = from;
         state.program = message.program;
         state.hasBudget = message.budget >= 0;
+        state.stream = message.stream;
         state.admittedAt = now;
     }
     if (!message.runningAt.empty()) {
@@ -162,7 +165,60 @@
     }
     if (state.hasBudget && !state.reserved)
         reserveBudget(message);
-    m_dispatcher.submit(now, workOf(now, from, message));
+    auto work = workOf(now, from, message);
+    work.origin = originOf(now, message);
+    m_dispatcher.submit(now, std::move(work));
+}
+
+auto ControlNode::originOf(TimePoint now, const fb::AdmissionT &message) -> StreamOrigin
+{
+    if (!message.resumes)
+        return {};
+    auto origin = m_state.streams().originOf(m_replica.groupTime(now), message.stream,
+                                             ServiceId(message.service));
+    m_metrics.count("heathergate_streams_resumed_total",
+                    {{"origin", std::string(originText(origin.kind))}});
+    m_log.add(now, LogImportance::Important, "admission", "stream_resumed",
+              {{"admission", message.request},
+               {"stream", message.stream},
+               {"service", message.service},
+               {"origin", originText(origin.kind)},
+               {"software", origin.version},
+               {"recorded", m_state.streams().size()},
+               {"term", m_replica.term()}});
+    return origin;
+}
+
+auto ControlNode::recordStream(TimePoint now, RequestId request, AdmissionState &state) -> void
+{
+    const auto &placement = *state.placement;
+    const auto upstream = m_state.upstreams().find(placement.upstream);
+    state.awaitsRecord = false;
+    if (state.stream == 0 || upstream == m_state.upstreams().end()
+        || !m_state.streams().isRecording(m_replica.groupTime(now)))
+        return;
+    const auto service = upstream->second.service;
+    const auto version = placement.softwareVersion;
+    if (m_state.streams().isRecorded(state.stream, service, version))
+        return;
+    state.awaitsRecord = true;
+    auto command = std::make_unique<fb::CommandT>();
+    command->stream = std::make_unique<fb::RecordStreamT>();
+    command->stream->stream = state.stream;
+    command->stream->service = service.value;
+    command->stream->softwareVersion = version;
+    propose(std::move(command), true, [this, request, service, version](TimePoint at, bool) {
+        const auto found = m_admissions.find(request);
+        if (found == m_admissions.end() || !found->second.awaitsRecord)
+            return;
+        // A later placement of the request waits for its own record.
+        const auto &current = found->second.placement;
+        if (!current || current->softwareVersion != version
+            || !m_state.streams().isRecorded(found->second.stream, service, version))
+            return;
+        found->second.awaitsRecord = false;
+        grantIfReady(at, request, found->second);
+    });
 }
 
 auto ControlNode::admitDelayed(TimePoint now) -> void
@@ -282,7 +338,7 @@
 
 auto ControlNode::grantIfReady(TimePoint now, RequestId request, AdmissionState &state) -> void
 {
-    if (!state.placement || (state.hasBudget && !state.reserved))
+    if (!state.placement || state.awaitsRecord || (state.hasBudget && !state.reserved))
         return;
     const auto &placement = *state.placement;
     fb::GrantT grant;
@@ -321,6 +377,7 @@
         if (found == m_admissions.end())
             continue;
         found->second.placement = std::move(placement);
+        recordStream(now, found->first, found->second);
         grantIfReady(now, found->first, found->second);
     }
     for (const auto &rejection : m_dispatcher.takeRejections()) {
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -14,7 +14,7 @@
 {
     return left.service == right.service && left.address == right.address
            && left.domain == right.domain && left.slots == right.slots && left.phase == right.phase
-           && left.startedAt == right.startedAt;
+           && left.startedAt == right.startedAt && left.softwareVersion == right.softwareVersion;
 }
 
 } // namespace
@@ -194,6 +194,7 @@
                {"service", record.service.value},
                {"address", record.address.text()},
                {"phase", static_cast<int>(record.phase)},
+               {"software", record.softwareVersion},
                {"born", record.startedAt.count()},
                {"sequence", record.sequence}});
     auto command = std::make_unique<fb::CommandT>();
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -44,13 +44,20 @@
 auto Dispatcher::rejectUnservable(TimePoint now, const ServiceId &id) -> void
 {
     const auto &service = m_services[id];
-    if (!std::all_of(service.upstreams.begin(), service.upstreams.end(),
-                     [&](const auto &upstream) { return m_upstreams.at(upstream).isRetired; }))
-        return;
-    while (!service.queue.empty()) {
-        const auto request = service.queue.begin()->request;
+    const auto isEmpty =
+        std::all_of(service.upstreams.begin(), service.upstreams.end(),
+                    [&](const auto &upstream) { return m_upstreams.at(upstream).isRetired; });
+    std::vector<RequestId> unservable;
+    for (const auto &key : service.queue) {
+        if (isEmpty || !hasCompatibleUpstream(m_work.at(key.request).work))
+            unservable.push_back(key.request);
+    }
+    for (const auto request : unservable) {
         removeFromQueue(now, m_work.at(request), false);
-        reject(now, request, RejectReason::NoUpstream, kNoUpstreamRetryAfter);
+        if (isEmpty)
+            reject(now, request, RejectReason::NoUpstream, kNoUpstreamRetryAfter);
+        else
+            reject(now, request, RejectReason::StreamVersionGone, Duration::zero());
     }
 }
 
@@ -69,6 +76,8 @@
     state.submittedAt = now;
     if (m_poison.isPoison(now, state.work.fingerprint))
         return reject(now, id, RejectReason::Poison, Duration::zero());
+    if (!hasCompatibleUpstream(state.work))
+        return reject(now, id, RejectReason::StreamVersionGone, Duration::zero());
     if (!state.work.isStarted && state.work.finishBy)
         state.work.startBy = std::min(
             state.work.startBy, now + (*state.work.finishBy - now) * kMaxStartDelayPercent / 100);
@@ -80,7 +89,7 @@
     if (!hasReachableUpstream(now, state.work))
         return reject(now, id, RejectReason::NoUpstream, kNoUpstreamRetryAfter);
     state.key = queueKeyOf(now, state.work);
-    const auto wait = expectedWait(now, service, state.key);
+    const auto wait = expectedWait(now, service, state);
     if (now + wait > state.work.startBy)
         return reject(now, id, RejectReason::Overload, wait);
     enqueue(now, state);
@@ -139,7 +148,7 @@
     while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
         const auto request = m_expiries.begin()->second;
         const auto &state = m_work.at(request);
-        const auto wait = expectedWait(now, m_services[state.work.service], state.key);
+        const auto wait = expectedWait(now, m_services[state.work.service], state);
         removeFromQueue(now, state, false);
         reject(now, request, RejectReason::Overload, wait);
     }
@@ -155,11 +164,8 @@
     const auto service = m_services.find(work.service);
     if (service == m_services.end())
         return nullptr;
-    if (work.pinnedUpstream) {
-        const auto pinned = m_upstreams.find(*work.pinnedUpstream);
-        if (pinned != m_upstreams.end() && pinned->second.record.phase != UpstreamPhase::Removed)
-            return pinned->second.rate.allows(now) ? &pinned->second : nullptr;
-    }
+    if (const auto *pinned = pinnedUpstream(work))
+        return pinned->rate.allows(now) ? pinned : nullptr;
     const Upstream *best = nullptr;
     double bestCost = 0;
     for (const auto &id : service->second.upstreams) {
@@ -203,12 +209,13 @@
     return {work.rank, !work.isStarted, due < now, due, work.id};
 }
 
-auto Dispatcher::expectedWait(TimePoint now, const ServiceState &service, const QueueKey &key) const
-    -> Duration
+auto Dispatcher::expectedWait(TimePoint now, const ServiceState &service,
+                              const WorkState &state) const -> Duration
 {
+    const auto &key = state.key;
     const auto place = service.queue.lower_bound(key);
     const auto ahead = std::distance(service.queue.begin(), place);
-    const auto wait = waitForSlots(service, static_cast<std::size_t>(ahead));
+    const auto wait = waitForSlots(service, state.work, static_cast<std::size_t>(ahead));
     const auto rate = service.firstTurns.find(key.rank);
     if (!key.isNew || rate == service.firstTurns.end())
         return wait;
@@ -217,12 +224,22 @@
     return std::max(wait, rate->second.waitBehind(now, aheadInClass).value_or(Duration::zero()));
 }
 
-auto Dispatcher::waitForSlots(const ServiceState &service, std::size_t ahead) const -> Duration
+auto Dispatcher::waitForSlots(const ServiceState &service, const Work &work,
+                              std::size_t ahead) const -> Duration
 {
     double slots = 0;
-    for (const auto &id : service.upstreams)
-        slots += usableSlots(m_upstreams.at(id), service);
-    const auto rounds = static_cast<double>(ahead + 1) / (slots > 0 ? slots : 1);
+    double compatibleSlots = 0;
+    for (const auto &id : service.upstreams) {
+        const auto &upstream = m_upstreams.at(id);
+        const auto usable = usableSlots(upstream, service);
+        slots += usable;
+        compatibleSlots += isCompatible(upstream, work) ? usable : 0;
+    }
+    const auto roundsOf = [](std::size_t requests, double available) {
+        return static_cast<double>(requests) / (available > 0 ? available : 1);
+    };
+    // The requests ahead use all slots, this one only those that may run it.
+    const auto rounds = roundsOf(ahead, slots) + roundsOf(1, compatibleSlots);
     return fromSeconds(rounds * service.meanDurationSeconds);
 }
 
@@ -276,6 +293,7 @@
     placement.running = upstream.running.size();
     placement.startedAt = upstream.record.startedAt;
     placement.isLimited = upstream.rate.perSecond().has_value();
+    placement.softwareVersion = upstream.record.softwareVersion;
     return placement;
 }
 
@@ -287,7 +305,8 @@
         return;
     const auto &work = found->second.work;
     auto spreadRetryAfter = retryAfter;
-    if (reason != RejectReason::Poison) {
+    const auto mayRetry = reason == RejectReason::NoUpstream || reason == RejectReason::Overload;
+    if (mayRetry) {
         spreadRetryAfter = std::clamp(spreadRetryAfter, kMinRetryAfter, kMaxRetryAfter);
         spreadRetryAfter += spreadRetryAfter
                             * static_cast<Duration::rep>(++m_rejected % kRetrySpreadSteps)
@@ -303,12 +322,21 @@
     auto &service = m_services[id];
     auto next = service.queue.begin();
     int skipped = 0;
+    std::set<std::string> fullVersions;
     while (next != service.queue.end() && skipped < kMaxSkipped && hasFreeSlot(now, service)) {
         auto &state = m_work.at(next->request);
         ++next;
+        const auto &origin = state.work.origin;
+        const auto isBound = origin.kind == StreamOrigin::Kind::One;
+        if (isBound && fullVersions.contains(origin.version))
+            continue;
         const auto *chosen = choose(now, state.work);
         if (chosen == nullptr) {
-            ++skipped; // The request avoids the upstreams that have a free slot.
+            // The request avoids the upstreams that have a free slot, or cannot run there.
+            if (isBound && state.work.avoid.empty())
+                fullVersions.insert(origin.version);
+            else
+                ++skipped;
             continue;
         }
         removeFromQueue(now, state, true);
--- a/libs/fleet/src/dispatcher_upstreams.cpp
+++ b/libs/fleet/src/dispatcher_upstreams.cpp
@@ -153,8 +153,9 @@
 auto Dispatcher::isAvailable(TimePoint now, const Upstream &upstream, const Work &work) const
     -> bool
 {
-    return upstream.running.size() < capacity(upstream) && now >= upstream.declinedUntil
-           && upstream.rate.allows(now) && isReachable(now, upstream)
+    return isCompatible(upstream, work) && upstream.running.size() < capacity(upstream)
+           && now >= upstream.declinedUntil && upstream.rate.allows(now)
+           && isReachable(now, upstream)
            && std::find(work.avoid.begin(), work.avoid.end(), upstream.record.id)
                   == work.avoid.end();
 }
@@ -183,13 +184,54 @@
     return reachable && upstream.health.isAvailable(now);
 }
 
+auto Dispatcher::isCompatible(const Upstream &upstream, const Work &work) -> bool
+{
+    switch (work.origin.kind) {
+    case StreamOrigin::Kind::Any:
+        return true;
+    case StreamOrigin::Kind::One:
+        return upstream.record.softwareVersion == work.origin.version;
+    case StreamOrigin::Kind::Unknown:
+        return false;
+    }
+    return false;
+}
+
+auto Dispatcher::hasCompatibleUpstream(const Work &work) const -> bool
+{
+    if (work.origin.kind == StreamOrigin::Kind::Any || pinnedUpstream(work) != nullptr)
+        return true;
+    const auto service = m_services.find(work.service);
+    if (service == m_services.end())
+        return false;
+    return std::any_of(service->second.upstreams.begin(), service->second.upstreams.end(),
+                       [&](const UpstreamId &id) {
+                           const auto &upstream = m_upstreams.at(id);
+                           return !upstream.isRetired && isCompatible(upstream, work);
+                       });
+}
+
+auto Dispatcher::pinnedUpstream(const Work &work) const -> const Upstream *
+{
+    if (!work.pinnedUpstream)
+        return nullptr;
+    const auto found = m_upstreams.find(*work.pinnedUpstream);
+    if (found == m_upstreams.end() || found->second.record.phase == UpstreamPhase::Removed
+        || !isCompatible(found->second, work))
+        return nullptr;
+    return &found->second;
+}
+
 auto Dispatcher::hasReachableUpstream(TimePoint now, const Work &work) const -> bool
 {
     const auto service = m_services.find(work.service);
     if (service == m_services.end())
         return false;
     return std::any_of(service->second.upstreams.begin(), service->second.upstreams.end(),
-                       [&](const UpstreamId &id) { return isReachable(now, m_upstreams.at(id)); });
+                       [&](const UpstreamId &id) {
+                           const auto &upstream = m_upstreams.at(id);
+                           return isCompatible(upstream, work) && isReachable(now, upstream);
+                       });
 }
 
 auto Dispatcher::hasFreeSlot(TimePoint now, const ServiceState &service) const -> bool
--- a/libs/fleet/src/fleet_state.cpp
+++ b/libs/fleet/src/fleet_state.cpp
@@ -9,6 +9,9 @@
 constexpr std::chrono::microseconds kMinRetention = std::chrono::seconds(60);
 /// Resolution of recorded usage: a customer's uses within this span share one entry.
 constexpr std::chrono::microseconds kUsageBucket = std::chrono::milliseconds(50);
+/// Number of a caller's attempts at a stream, each as long as its route permits, for which the
+/// origin of the stream is remembered.
+constexpr int kStreamAttempts = 4;
 /// Time for which a removed upstream's record is retained, so that its late heartbeats are ignored.
 constexpr std::chrono::microseconds kRemovedRetention = std::chrono::seconds(60);
 
@@ -33,6 +36,7 @@
     table.phase = static_cast<std::uint8_t>(record.phase);
     table.born = record.startedAt.count();
     table.sequence = record.sequence;
+    table.softwareVersion = record.softwareVersion;
     return table;
 }
 
@@ -48,6 +52,7 @@
     record.phase = static_cast<UpstreamPhase>(table.phase);
     record.startedAt = std::chrono::milliseconds(table.born);
     record.sequence = table.sequence;
+    record.softwareVersion = table.softwareVersion;
     return record;
 }
 
@@ -66,6 +71,9 @@
         }
         if (command->upstream && command->upstream->upstream)
             setUpstream(now, *command->upstream->upstream);
+        if (command->stream)
+            m_streams.record(now, command->stream->stream, ServiceId(command->stream->service),
+                             command->stream->softwareVersion);
         if (command->retiring && command->retiring->retiring)
             m_retiring.insert(InstanceId(command->retiring->instance));
         else if (command->retiring)
@@ -161,8 +169,13 @@
     m_history.record(change);
     m_document = std::move(document);
     m_retention = kMinRetention;
-    for (const auto &route : m_configuration.all().routes)
+    GroupTime longestRequest{};
+    for (const auto &route : m_configuration.all().routes) {
         m_retention = std::max<std::chrono::microseconds>(m_retention, 2 * route.retention);
+        longestRequest = std::max<GroupTime>(longestRequest,
+                                             std::chrono::duration_cast<GroupTime>(route.timeout));
+    }
+    m_streams.setRetention(kStreamAttempts * longestRequest);
     return {};
 }
 
@@ -170,8 +183,24 @@
 {
     auto record = fromTable(upstream);
     record.changedAt = now;
-    m_upstreams[record.id] = std::move(record);
+    const auto service = record.service;
+    auto &known = m_upstreams[record.id];
+    const auto formerService = std::exchange(known, std::move(record)).service;
     ++m_upstreamChanges;
+    updateServingVersions(now, service);
+    if (!formerService.empty() && formerService != service)
+        updateServingVersions(now, formerService);
+}
+
+auto FleetState::updateServingVersions(GroupTime now, const ServiceId &service) -> void
+{
+    std::set<std::string> versions;
+    for (const auto &[id, record] : m_upstreams) {
+        if (record.service == service && record.phase != UpstreamPhase::Removed
+            && !record.softwareVersion.empty())
+            versions.insert(record.softwareVersion);
+    }
+    m_streams.setServing(now, service, versions);
 }
 
 auto FleetState::removeExpired(GroupTime now) -> void
@@ -226,6 +255,7 @@
         }
         table.usage.push_back(std::move(usage));
     }
+    table.streams = std::make_unique<fb::StreamOriginsT>(m_streams.snapshot());
     return pack(table);
 }
 
@@ -262,6 +292,8 @@
         if (uses.empty())
             m_usage.erase(CustomerId(usage->customer));
     }
+    if (table->streams)
+        m_streams.restore(*table->streams);
     return {};
 }
 
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -147,6 +147,12 @@
     for (const auto &upstream : call.avoid)
         admission.avoid.push_back(upstream.value);
     admission.again = call.admittedBefore;
+    if (call.kind == RouteKind::Stream && call.isResumable) {
+        const auto isResumedByCaller = request.lastEvent || !request.resumedAttempt.empty();
+        admission.stream =
+            streamIdOf(call.customer, isResumedByCaller ? request.resumedAttempt : request.name);
+        admission.resumes = call.lastEvent || isResumedByCaller;
+    }
     if (call.phase == Phase::Running)
         admission.runningAt = call.upstream.value;
     else if (call.pinnedUpstream)
--- /dev/null
+++ b/libs/fleet/test/control_streams_test.cpp
@@ -0,0 +1,184 @@
+#include "control_fleet.h"
+
+using namespace heathergate;
+using namespace heathergate::fleet;
+using namespace heathergate::fleet::test;
+
+namespace {
+
+constexpr StreamId kStream = 77;
+
+/// A fleet of control instances with upstreams of two software versions.
+struct StreamsFixture
+{
+    StreamsFixture()
+    {
+        leader = fleet.waitForLeader();
+        add("old", "v1", 1, 9000);
+    }
+
+    auto add(const std::string &id, const std::string &version, std::int64_t born,
+             std::uint16_t port) -> void
+    {
+        auto record = upstream(id, born, ++sequence, port);
+        record.softwareVersion = version;
+        fleet.heartbeat(leader, record);
+        fleet.run(50ms);
+    }
+
+    auto remove(const std::string &id) -> void
+    {
+        fleet.node(leader).upstreamLeft(fleet.now(), fleet.nextToken(), UpstreamId(id));
+        fleet.run(50ms);
+    }
+
+    auto killAll() -> void
+    {
+        for (const auto *name : {"10.0.0.1", "10.0.0.2", "10.0.0.3"})
+            fleet.kill(name);
+        for (const auto *name : {"10.0.0.1", "10.0.0.2", "10.0.0.3"})
+            fleet.restart(name);
+        leader = fleet.waitForLeader();
+        fleet.run(50ms);
+    }
+
+    auto request(StreamId stream, bool resumes, const std::string &avoid = {}) -> fb::AdmissionT
+    {
+        fb::AdmissionT admission;
+        admission.request = ++lastRequest;
+        admission.service = "tools";
+        admission.budget = admission.finishIn = -1;
+        admission.timeLeft = admission.patience = 1'000'000;
+        admission.stream = stream;
+        admission.resumes = resumes;
+        if (!avoid.empty())
+            admission.avoid.push_back(avoid);
+        return admission;
+    }
+
+    /// Returns the upstream that is granted, or the number of the refusal's code.
+    auto ask(const fb::AdmissionT &admission) -> std::string
+    {
+        fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(admission)));
+        fleet.run(60ms);
+        const auto answers = fleet.sentTo("g");
+        BOOST_TEST_REQUIRE(!answers.empty());
+        if (const auto *grant = std::get_if<fb::GrantT>(&answers.front()))
+            return grant->upstream;
+        return std::to_string(std::get<fb::RefusalT>(answers.front()).code);
+    }
+
+    /// Reports that an attempt failed, and asks for another upstream.
+    auto retry(fb::AdmissionT &admission, bool resumes, const std::vector<std::string> &avoid)
+        -> std::string
+    {
+        fb::CompletionT completion;
+        completion.request = admission.request;
+        completion.ending = static_cast<std::uint8_t>(AttemptOutcome::Broken);
+        fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(completion)));
+        admission.again = true;
+        admission.resumes = resumes;
+        admission.avoid = avoid;
+        return ask(admission);
+    }
+
+    auto begin(StreamId stream, const std::string &avoid = {}) -> std::string
+    {
+        return ask(request(stream, false, avoid));
+    }
+
+    auto resume(StreamId stream, const std::string &avoid = {}) -> std::string
+    {
+        return ask(request(stream, true, avoid));
+    }
+
+    Fleet fleet;
+    std::string leader;
+    std::uint64_t sequence = 0;
+    RequestId lastRequest = 0;
+};
+
+const auto kVersionGone = std::to_string(static_cast<int>(Code::StreamVersionGone));
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ControlStreamsTest)
+
+BOOST_FIXTURE_TEST_SUITE(WhenACallerResumesAStream, StreamsFixture)
+
+BOOST_AUTO_TEST_CASE(doesNotJoinTwoSoftwareVersionsAfterAllInstancesWereKilled)
+{
+    add("new", "v2", 2, 9001);
+    add("newest", "v3", 3, 9002);
+    BOOST_TEST(begin(kStream, "old") != "old");
+    const auto first = begin(kStream + 1, "old");
+    killAll();
+    const auto other = first == "new" ? "newest" : "new";
+    // The upstream that began it is avoided, so that only other versions are left.
+    BOOST_TEST(resume(kStream + 1, other) == first);
+    BOOST_TEST(resume(kStream + 1) == first);
+}
+
+BOOST_AUTO_TEST_CASE(refusesAStreamWhoseVersionHasLeft)
+{
+    BOOST_TEST(begin(kStream) == "old");
+    add("new", "v2", 2, 9001);
+    remove("old");
+    killAll();
+    BOOST_TEST(resume(kStream) == kVersionGone);
+    BOOST_TEST(begin(kStream + 1) == "new");
+    BOOST_TEST(resume(kStream + 1) == "new");
+}
+
+BOOST_AUTO_TEST_CASE(refusesAStreamWhoseUpstreamRestartedWithAnotherVersion)
+{
+    BOOST_TEST(begin(kStream) == "old");
+    add("old", "v2", 2, 9000);
+    BOOST_TEST(resume(kStream) == kVersionGone);
+}
+
+BOOST_AUTO_TEST_CASE(refusesAStreamThatItDoesNotName)
+{
+    BOOST_TEST(resume(0) == "old");
+    add("new", "v2", 2, 9001);
+    BOOST_TEST(resume(0) == kVersionGone);
+}
+
+BOOST_AUTO_TEST_CASE(goesOnAtTheVersionThatServedBeforeTheSecondOne)
+{
+    BOOST_TEST(begin(kStream) == "old");
+    add("new", "v2", 2, 9001);
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(resume(kStream) == "old");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(WhenAnAttemptFails, StreamsFixture)
+
+BOOST_AUTO_TEST_CASE(goesOnAtTheSameVersionInTheSameAnswer)
+{
+    add("new", "v2", 2, 9001);
+    add("new2", "v2", 3, 9002);
+    auto admission = request(kStream, false, "old");
+    const auto first = ask(admission);
+    const auto second = retry(admission, true, {first});
+    BOOST_TEST(second == (first == "new" ? "new2" : "new"));
+    fleet.node(leader).upstreamLeft(fleet.now(), fleet.nextToken(), UpstreamId("new"));
+    fleet.node(leader).upstreamLeft(fleet.now(), fleet.nextToken(), UpstreamId("new2"));
+    fleet.run(50ms);
+    BOOST_TEST(retry(admission, true, {first, second}) == kVersionGone);
+}
+
+BOOST_AUTO_TEST_CASE(mayChangeTheVersionBeforeTheFirstEvent)
+{
+    add("new", "v2", 2, 9001);
+    auto admission = request(kStream, false, "new");
+    BOOST_TEST(ask(admission) == "old");
+    BOOST_TEST(retry(admission, false, {"old"}) == "new");
+    BOOST_TEST(resume(kStream) == "new");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/fleet/test/dispatcher_fixture.h
+++ b/libs/fleet/test/dispatcher_fixture.h
@@ -42,6 +42,12 @@
         dispatcher.setUpstreams(now, records, configuration);
     }
 
+    auto setVersion(const std::string &name, const std::string &version) -> void
+    {
+        records[UpstreamId(name)].softwareVersion = version;
+        dispatcher.setUpstreams(now, records, configuration);
+    }
+
     auto setPhase(const std::string &name, UpstreamPhase phase) -> void
     {
         records[UpstreamId(name)].phase = phase;
@@ -62,6 +68,14 @@
         return result;
     }
 
+    /// Returns a request that resumes a stream of a software version.
+    auto resumedWork(const std::string &version) -> Work
+    {
+        auto result = work(kEngines);
+        result.origin = {StreamOrigin::Kind::One, version};
+        return result;
+    }
+
     auto submit(Work item) -> RequestId
     {
         const auto id = item.id;
