Write any text as JSON without ending the process

Reported for systems like this one, and shown here by hand on a single instance: a heartbeat whose body holds bytes that are not UTF-8 ends the leader (json.exception.type_error.316, exit 134). A sender that repeats it at the next control instance ends them all.

Cause: the parser's message quotes the bytes, and the refusal that carries the message was written with a call that throws on bytes that are not UTF-8, outside any catch. The class: text of strangers in a JSON answer.

Fix: all of them use jsonText, which replaces such bytes.

That the former call throws is the trace above.

--- a/apps/heathergate/fake_upstream_server.cpp
+++ b/apps/heathergate/fake_upstream_server.cpp
@@ -1,4 +1,5 @@
 #include "fake_upstream.h"
+#include <heathergate/core/json_text.h>
 
 #include <heathergate/daemon/ace_clock.h>
 #include <heathergate/daemon/problem.h>
@@ -24,7 +25,7 @@
 
 auto event(const nlohmann::json &json) -> std::string
 {
-    return "data: " + json.dump() + "\n\n";
+    return "data: " + jsonText(json) + "\n\n";
 }
 
 } // namespace
@@ -135,7 +136,7 @@
 
 auto FakeUpstream::serveChatCompletion(http::Token token, const nlohmann::json &body) -> void
 {
-    const auto content = body.dump();
+    const auto content = jsonText(body);
     testing::FakeEngineRequest request;
     request.id = ++m_lastRequest;
     request.program = body.value("program", "");
@@ -166,7 +167,7 @@
         now() + m_settings.serviceTime + (isDelayed ? m_settings.answerDelay : Duration::zero());
     if (matchesMarker(m_settings.disconnectOn, content)) {
         m_server->beginStream(token, {200, {{"content-type", "application/json"}}, {}});
-        m_server->write(token, answer.dump().substr(0, 10));
+        m_server->write(token, jsonText(answer).substr(0, 10));
         m_server->endStream(token, false);
         return;
     }
@@ -280,7 +281,7 @@
     request.url = "http://" + m_settings.announceTo[m_instance] + path;
     request.headers["authorization"] = "Bearer " + m_settings.token;
     request.headers["content-type"] = "application/json";
-    request.body = body.dump();
+    request.body = jsonText(body);
     m_pendingPost = request.id;
     m_announceAnswer.clear();
     m_announceStatus = 0;
--- a/apps/heathergate/load_command.cpp
+++ b/apps/heathergate/load_command.cpp
@@ -134,7 +134,7 @@
                         {"outcomes", results[i].outcomes}});
     }
     if (values->count("json") > 0)
-        std::cout << json.dump(2) << '\n';
+        std::cout << jsonText(json, 2) << '\n';
     return 0;
 }
 
--- a/apps/heathergate/operator_client.cpp
+++ b/apps/heathergate/operator_client.cpp
@@ -1,4 +1,5 @@
 #include "operator_client.h"
+#include <heathergate/core/json_text.h>
 
 #include <cstdlib>
 #include <curl/curl.h>
@@ -99,7 +100,7 @@
     if (json.is_discarded())
         out << answer->body;
     else
-        out << json.dump(2) << '\n';
+        out << jsonText(json, 2) << '\n';
     return answer->status < 400 ? 0 : 1;
 }
 
--- a/apps/heathergate/operator_commands.cpp
+++ b/apps/heathergate/operator_commands.cpp
@@ -1,4 +1,5 @@
 #include "operator_client.h"
+#include <heathergate/core/json_text.h>
 
 #include <heathergate/daemon/settings.h>
 
@@ -69,7 +70,7 @@
             body[column] = command.values[column].as<std::int64_t>();
     }
     return OperatorClient(command.values)
-        .sendAndPrint("PUT", path("table/" + command.positionals[1] + "?wait=1"), body.dump());
+        .sendAndPrint("PUT", path("table/" + command.positionals[1] + "?wait=1"), jsonText(body));
 }
 
 auto createKey(const ParsedCommand &command) -> int
@@ -111,7 +112,7 @@
     if (positionals.size() == 2 && positionals[0] == "remove") {
         const nlohmann::json body{{"revision", command->values["revision"].as<std::uint64_t>()}};
         return client.sendAndPrint("DELETE", path("table/" + positionals[1] + "?wait=1"),
-                                   body.dump());
+                                   jsonText(body));
     }
     if (positionals.size() == 2 && positionals[0] == "import") {
         const auto text = readAll(positionals[1]);
@@ -147,7 +148,7 @@
         if (positionals.size() == 1 && positionals[0] == "give" && command->values.count(owner) > 0)
             return client.sendAndPrint(
                 "POST", path("keys"),
-                nlohmann::json{{owner, command->values[owner].as<std::string>()}}.dump());
+                jsonText(nlohmann::json{{owner, command->values[owner].as<std::string>()}}));
     }
     return usageError(usage);
 }
@@ -175,7 +176,7 @@
         const nlohmann::json body{{"action", positionals[2]},
                                   {"argument", positionals.size() == 4 ? positionals[3] : ""}};
         return client.sendAndPrint("POST", path("upstreams/" + positionals[1] + "/orders"),
-                                   body.dump());
+                                   jsonText(body));
     }
     return usageError(usage);
 }
@@ -202,7 +203,7 @@
                                   {"call", positionals[3]},
                                   {"ran", positionals[4] == "ran"},
                                   {"answer", positionals.size() > 5 ? positionals[5] : ""}};
-        return client.sendAndPrint("POST", path("settlements"), body.dump());
+        return client.sendAndPrint("POST", path("settlements"), jsonText(body));
     }
     return usageError(usage);
 }
@@ -232,7 +233,7 @@
     if (positionals.size() == 3 && positionals[0] == "replace")
         return client.sendAndPrint(
             "POST", path("replacements"),
-            nlohmann::json{{"old", positionals[1]}, {"new", positionals[2]}}.dump());
+            jsonText(nlohmann::json{{"old", positionals[1]}, {"new", positionals[2]}}));
     return usageError(usage);
 }
 
--- a/libs/core/include/heathergate/core/core.h
+++ b/libs/core/include/heathergate/core/core.h
@@ -7,6 +7,7 @@
 #include <heathergate/core/endpoint.h>
 #include <heathergate/core/hash.h>
 #include <heathergate/core/ids.h>
+#include <heathergate/core/json_text.h>
 #include <heathergate/core/random.h>
 #include <heathergate/core/result.h>
 #include <heathergate/core/ring.h>
--- a/libs/daemon/src/call_attempt.cpp
+++ b/libs/daemon/src/call_attempt.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/daemon/internal/call_runner.h>
 
 /// Attempts of a call at an upstream, and the handling of their failures.
@@ -14,7 +15,7 @@
 
 auto eventOf(const nlohmann::json &data) -> std::string
 {
-    return "data: " + data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n\n";
+    return "data: " + jsonText(data) + "\n\n";
 }
 
 auto chunkOf(const CallRequest &request, const nlohmann::json &delta, const nlohmann::json &reason)
@@ -83,7 +84,7 @@
     http::Outgoing outgoing;
     outgoing.url = "http://" + call.upstreamAddress + "/v1/chat/completions";
     outgoing.headers["content-type"] = "application/json";
-    outgoing.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    outgoing.body = jsonText(body);
     return outgoing;
 }
 
--- a/libs/daemon/src/call_queue.cpp
+++ b/libs/daemon/src/call_queue.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/daemon/internal/call_runner.h>
 
 /// Queueing, choice of upstream and recording of the intent of a call.
@@ -40,7 +41,7 @@
     std::uint64_t hash = known.prefixes.empty() ? 0 : known.prefixes.back().hash;
     std::int64_t tokens = known.totalTokens();
     for (const auto &message : messages) {
-        const auto text = message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        const auto text = jsonText(message);
         hash = hash64(text, hash);
         tokens += 1 + static_cast<std::int64_t>(text.size()) / kBytesPerToken;
         known.prefixes.push_back({hash, tokens});
--- a/libs/daemon/src/call_runner.cpp
+++ b/libs/daemon/src/call_runner.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/daemon/internal/call_runner.h>
 
 /// Lifecycle of a call: start, admission and completion. The queue and the attempts are in separate
@@ -225,7 +226,7 @@
     if (call.request.kind == programs::CallKind::Model) {
         auto messages = call.request.newMessages;
         messages.push_back({{"role", "assistant"}, {"content", call.answer.text}});
-        finish.messages = messages.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        finish.messages = jsonText(messages);
         auto &routingState = routingStateOf(*call.request.program);
         routingState.attained += static_cast<double>(call.answer.completionTokens);
         routingState.prompt = call.prompt;
--- a/libs/daemon/src/caller_api.cpp
+++ b/libs/daemon/src/caller_api.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/daemon/internal/caller_api.h>
 
 #include <algorithm>
@@ -368,8 +369,7 @@
     call->newMessages = messages;
     call->maxTokens = *maxTokens;
     call->stream = stream != body->end() && stream->get<bool>();
-    const auto content = call->model + "\n"
-                         + messages.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const auto content = call->model + "\n" + jsonText(messages);
     call->digest = toHex(hmacSha256("call", content));
     call->fingerprint = toHex(hmacSha256(call->customer.value, content));
     m_runner.start(now, std::move(*call));
--- a/libs/daemon/src/operator_api.cpp
+++ b/libs/daemon/src/operator_api.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/daemon/internal/operator_api.h>
 
 #include <heathergate/daemon/internal/caller_api.h>
@@ -432,7 +433,7 @@
     auto problem = nlohmann::json::parse(response.body, nullptr, false);
     if (outcome.row)
         problem["row"] = rowJson(*outcome.row);
-    response.body = problem.dump();
+    response.body = jsonText(problem);
     m_context.respond(token, std::move(response));
 }
 
--- a/libs/daemon/src/problem.cpp
+++ b/libs/daemon/src/problem.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/daemon/problem.h>
 
 namespace heathergate::daemon {
@@ -11,9 +12,8 @@
                               {"detail", error.detail},
                               {"code", static_cast<int>(error.code)},
                               {"ran", ranText(error.ran)}};
-    http::Response response{info.httpStatus,
-                            {{"content-type", "application/problem+json"}},
-                            body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+    http::Response response{
+        info.httpStatus, {{"content-type", "application/problem+json"}}, jsonText(body)};
     if (error.retryAfter > Duration::zero()) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(error.retryAfter).count();
         response.headers["retry-after"] = std::to_string(seconds);
@@ -25,9 +25,7 @@
 
 auto jsonResponse(const nlohmann::json &body, int status) -> http::Response
 {
-    return {status,
-            {{"content-type", "application/json"}},
-            body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+    return {status, {{"content-type", "application/json"}}, jsonText(body)};
 }
 
 auto parseJsonObject(const std::string &text, int maxDepth) -> Result<nlohmann::json>
--- a/libs/daemon/src/replica_host.cpp
+++ b/libs/daemon/src/replica_host.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/daemon/replica_host.h>
 
 namespace heathergate::daemon {
@@ -269,7 +270,7 @@
         json["programs"] = group.ledger.programCount();
         json["pendingReleases"] = group.ledger.pendingReleases().size();
     }
-    return json.dump();
+    return jsonText(json);
 }
 
 auto ReplicaHost::compactIfNeeded() -> void
--- a/libs/daemon/src/replica_host_control.cpp
+++ b/libs/daemon/src/replica_host_control.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/daemon/replica_host.h>
 
 /// Tasks of a host that leads the control group.
@@ -145,7 +146,7 @@
                                   {"action", order.action},
                                   {"argument", order.argument}};
         m_output.orders.push_back(
-            {order.upstream, target->second.offer.address, "/orders", body.dump(), number});
+            {order.upstream, target->second.offer.address, "/orders", jsonText(body), number});
     }
 }
 
--- a/libs/daemon/src/replica_host_shards.cpp
+++ b/libs/daemon/src/replica_host_shards.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/daemon/replica_host.h>
 
 /// Tasks of a host that leads program shards, and the replacement of replicas.
@@ -49,7 +50,7 @@
         const nlohmann::json body{
             {"program", release.key.customer.value + "/" + release.key.program.value}};
         m_output.orders.push_back({release.holder.upstream, target->second.offer.address,
-                                   "/programs/release", body.dump(), release});
+                                   "/programs/release", jsonText(body), release});
     }
 }
 
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/http/server.h>
 
 #include <algorithm>
@@ -320,7 +321,7 @@
         const nlohmann::json body{{"type", "about:blank"},          {"title", info.name},
                                   {"status", info.httpStatus},      {"detail", detail},
                                   {"code", static_cast<int>(code)}, {"ran", "no"}};
-        return {info.httpStatus, {{"content-type", "application/problem+json"}}, body.dump()};
+        return {info.httpStatus, {{"content-type", "application/problem+json"}}, jsonText(body)};
     }
 
     static auto addHeaders(MHD_Response *response, const Headers &headers) -> void
--- a/libs/replay/src/fleet.cpp
+++ b/libs/replay/src/fleet.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/replay/fleet.h>
 
 namespace heathergate::replay {
@@ -22,7 +23,7 @@
 {
     const nlohmann::json json{{"choices", nlohmann::json::array({{{"delta", {{"content", text}}},
                                                                   {"finish_reason", nullptr}}})}};
-    return "data: " + json.dump() + "\n\n";
+    return "data: " + jsonText(json) + "\n\n";
 }
 
 } // namespace
@@ -274,7 +275,7 @@
     request.path = path;
     request.headers["authorization"] = "Bearer " + key;
     if (!body.is_null())
-        request.body = body.dump();
+        request.body = jsonText(body);
     return request;
 }
 
@@ -487,7 +488,7 @@
             const nlohmann::json usage{{"prompt_tokens", event.promptTokens},
                                        {"completion_tokens", event.completionTokens},
                                        {"cached_tokens", event.cachedTokens}};
-            push(http::AnswerData{"data: " + nlohmann::json{{"usage", usage}}.dump()
+            push(http::AnswerData{"data: " + jsonText(nlohmann::json{{"usage", usage}})
                                   + "\n\ndata: [DONE]\n\n"});
             push(http::AnswerEnd{true, true, ""});
             m_exchanges.erase(exchange);
--- a/libs/replay/src/report.cpp
+++ b/libs/replay/src/report.cpp
@@ -1,5 +1,6 @@
 #include <heathergate/replay/report.h>
 
+#include <heathergate/core/json_text.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -122,7 +123,7 @@
                         {"resends", report.resends},
                         {"occupancy", report.occupancy},
                         {"violations", report.violations}});
-    return json.dump(2) + "\n";
+    return jsonText(json, 2) + "\n";
 }
 
 auto renderSvg(const std::vector<ReplayReport> &reports) -> std::string
--- a/libs/replay/src/trace.cpp
+++ b/libs/replay/src/trace.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/replay/trace.h>
 
 #include <cmath>
@@ -14,7 +15,7 @@
 {
     nlohmann::json json = item;
     json["event"] = event;
-    out << json.dump() << '\n';
+    out << jsonText(json) << '\n';
 }
 
 auto parseLine(Trace &trace, const nlohmann::json &json) -> void
--- a/libs/testing/src/fake_engine.cpp
+++ b/libs/testing/src/fake_engine.cpp
@@ -1,3 +1,4 @@
+#include <heathergate/core/json_text.h>
 #include <heathergate/testing/fake_engine.h>
 
 #include <algorithm>
@@ -26,7 +27,7 @@
     std::uint64_t hash = 0;
     std::int64_t tokens = 0;
     for (const auto &message : messages) {
-        const auto text = message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        const auto text = jsonText(message);
         hash = hash64(text, hash);
         tokens += 1 + static_cast<std::int64_t>(text.size()) / kBytesPerToken;
         prompt.prefixes.push_back({hash, tokens});
