Refuse heartbeats whose times cannot be true

Reported for systems like this one, and shown here by hand: a heartbeat of an unknown upstream at the address of a real one, with a start in the far future, displaces the real one; its own heartbeats are then answered 200 and ignored.

Cause: whatever claims to be newer wins, and nothing bounded the claim. The class: an order by numbers that strangers choose.

Fix: a control instance refuses a report (400, event heartbeat_implausible) whose start lies before 1970 or more than ten minutes after its own time of day, or whose sequence number exceeds one report for each millisecond since the start.

What remains: an entry with a plausible start at the address of a real upstream still replaces it, as a new process at that address must.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -81,8 +81,14 @@
     UpstreamRecord record;
     /// Time for which the upstream remains slow after its start.
     Duration coldRemaining{};
+    /// Time of day at which it was received, since the Unix epoch.
+    std::chrono::milliseconds receivedAt{};
 };
 
+/// Returns why what a report says of its time cannot be true; nothing if it can. Such a report would
+/// outlast all later ones of the upstream.
+[[nodiscard]] auto implausibility(const UpstreamReport &report) -> std::optional<std::string>;
+
 /// State of the history replica of an instance.
 struct HistoryProgress
 {
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -10,6 +10,11 @@
 /// Time after which a new leader has received presence from every running instance.
 constexpr Duration kMemberDiscoveryTime = std::chrono::milliseconds(1500);
 
+/// Maximum difference between the clocks of an upstream and of a control instance.
+constexpr std::chrono::milliseconds kMaxClockDifference = std::chrono::minutes(10);
+/// Minimum average time between two reports of an upstream.
+constexpr std::chrono::milliseconds kMinReportInterval{1};
+
 auto sameUpstream(const UpstreamRecord &left, const UpstreamRecord &right) -> bool
 {
     return left.service == right.service && left.address == right.address
@@ -19,6 +24,20 @@
 
 } // namespace
 
+auto implausibility(const UpstreamReport &report) -> std::optional<std::string>
+{
+    const auto latest = report.receivedAt + kMaxClockDifference;
+    const auto &record = report.record;
+    if (record.startedAt < std::chrono::milliseconds::zero())
+        return "the start lies before 1970";
+    if (record.startedAt > latest)
+        return "the start lies in the future";
+    const auto maxReports = (latest - record.startedAt) / kMinReportInterval;
+    if (record.sequence > static_cast<std::uint64_t>(maxReports))
+        return "the sequence number is too large for the time since the start";
+    return std::nullopt;
+}
+
 auto ControlNode::answerNotLeader(TimePoint now, CallToken token, std::string_view call) -> void
 {
     CallAnswer answer;
@@ -211,6 +230,17 @@
     const auto &record = report.record;
     CallAnswer answer;
     answer.token = token;
+    if (auto reason = implausibility(report)) {
+        m_log.add(now, LogImportance::Important, "upstreams", "heartbeat_implausible",
+                  {{"upstream", record.id.value},
+                   {"detail", *reason},
+                   {"born", record.startedAt.count()},
+                   {"sequence", record.sequence}});
+        answer.status = CallStatus::Invalid;
+        answer.detail = std::move(*reason);
+        m_output.answers.push_back(std::move(answer));
+        return;
+    }
     const auto known = m_state.upstreams().find(record.id);
     const auto isKnown = known != m_state.upstreams().end();
     // An outdated heartbeat is ignored: it comes from a former incarnation, was sent before a
--- a/libs/fleet/test/control_calls_test.cpp
+++ b/libs/fleet/test/control_calls_test.cpp
@@ -9,6 +9,28 @@
 
 BOOST_AUTO_TEST_SUITE(WhenUpstreamsReport)
 
+BOOST_AUTO_TEST_CASE(keepsThemDespiteAnEntryAtTheirAddressThatCannotBeTrue)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    const auto answerTo = [&](const UpstreamRecord &record) {
+        const auto token = fleet.heartbeat(leader, record);
+        fleet.run(50ms);
+        return fleet.answer(token)->status;
+    };
+    BOOST_TEST((answerTo(upstream("u", 1, 1)) == CallStatus::Done));
+    const auto farFuture = std::numeric_limits<std::int64_t>::max() / 1'000'000;
+    BOOST_TEST((answerTo(upstream("stranger", farFuture, 1)) == CallStatus::Invalid));
+    BOOST_TEST((answerTo(upstream("stranger", -1, 1)) == CallStatus::Invalid));
+    const auto lastNumber = std::numeric_limits<std::uint64_t>::max();
+    BOOST_TEST((answerTo(upstream("u", 1, lastNumber)) == CallStatus::Invalid));
+    BOOST_TEST((answerTo(upstream("u", farFuture, 1)) == CallStatus::Invalid));
+    BOOST_TEST((answerTo(upstream("u", 1, 2)) == CallStatus::Done));
+    const auto &known = fleet.node(leader).state().upstreams();
+    BOOST_TEST((known.at(UpstreamId("u")).phase == UpstreamPhase::Ready));
+    BOOST_TEST(known.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(keepsTheirRegistrationAcrossAChangeOfLeader)
 {
     Fleet fleet;
