Do not believe a response that may belong to an earlier request

Reported for systems like this one: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for a request that had run (REFUSED), or it ran at a second upstream (TWICE).

Cause, by reading: a response is told apart by the identifier that it echoes; one without it was taken for the answer to the current request, also on a connection that had carried others. And a request that is sent to the same upstream again carries the same identifier, so that a second copy of the former refusal would have matched.

Fix: on a reused connection a response without the identifier ends the exchange as broken (it may have run), and an attempt at an upstream that has received the request before uses a new connection.

Evidence: doesNotBelieveARefusalThatMayBelongToAnEarlierRequest.

--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -94,6 +94,9 @@
     /// Whether the request may run at most once, so that it must not be sent on a connection that
     /// the upstream may have closed.
     bool runsOnce = false;
+    /// The upstream has received the request before. A late answer to the former attempt must not
+    /// be taken for the new one, so that it needs a connection of its own.
+    bool isRepeated = false;
     /// Earlier turns, which precede the body of the request; null if there are none.
     history::Chain history;
 };
--- a/libs/fleet/src/gateway_attempts.cpp
+++ b/libs/fleet/src/gateway_attempts.cpp
@@ -63,6 +63,7 @@
     start.history = call.history;
     start.runsOnce =
         call.kind == RouteKind::Unsafe || (call.kind == RouteKind::Stream && !call.isResumable);
+    start.isRepeated = call.mayHaveRunAt.contains(call.upstream);
     m_effects.emplace_back(std::move(start));
 }
 
--- a/libs/net/include/heathergate/net/http_client.h
+++ b/libs/net/include/heathergate/net/http_client.h
@@ -14,8 +14,9 @@
     Endpoint to;
     /// Head and body as sent on the wire.
     std::string bytes;
-    /// Header that correlates a response with this request; responses that carry another value
-    /// are skipped.
+    /// Header that correlates a response with this request. Responses that carry another value are
+    /// skipped. One without the header is valid only on a connection that has carried no other
+    /// request.
     std::string correlationHeader;
     std::string correlationValue;
     /// Maximum idle time of a pooled connection that may carry this request.
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -92,6 +92,7 @@
         m_parser.reset();
         m_isReusable = false;
         m_skipping = false;
+        m_isUnattributed = false;
         m_skippedBytes = 0;
         m_hasResponse = false;
         m_startedAt = m_client.m_loop.now();
@@ -135,7 +136,7 @@
             const auto used = m_parser.feed(bytes);
             if (!m_stream->isOpen() || m_id == 0)
                 return;
-            if (!used)
+            if (!used || m_isUnattributed)
                 return end(false);
             m_skippedBytes += m_skipping ? *used : 0;
             if (m_skippedBytes > kMaxSkippedBytes)
@@ -164,11 +165,14 @@
     {
         m_hasResponse = true;
         constexpr int kFirstFinalStatus = 200;
+        const auto isCorrelated = !m_request.correlationHeader.empty();
         const auto *echo = head.headers.find(m_request.correlationHeader);
         m_skipping = head.status < kFirstFinalStatus
-                     || (!m_request.correlationHeader.empty() && echo != nullptr
-                         && *echo != m_request.correlationValue);
-        if (m_skipping)
+                     || (isCorrelated && echo != nullptr && *echo != m_request.correlationValue);
+        // On a connection that has carried other requests it may be a further response to one of
+        // them.
+        m_isUnattributed = !m_skipping && isCorrelated && echo == nullptr && isReused();
+        if (m_skipping || m_isUnattributed)
             return;
         m_isReusable = head.keepAlive;
         m_allowedIdle = allowedIdle(head);
@@ -179,20 +183,25 @@
 
     auto bodyRead(std::string_view bytes) -> void
     {
-        if (!m_skipping && m_id != 0)
+        if (!m_skipping && !m_isUnattributed && m_id != 0)
             m_client.m_handlers.onBody(m_id, bytes);
     }
 
+    /// Returns whether the connection has carried other requests before.
+    [[nodiscard]] auto isReused() const -> bool
+    {
+        return m_idleSince != TimePoint{};
+    }
+
     auto closedByServer(bool clean) -> void
     {
         const auto self = shared_from_this();
         if (m_id == 0)
             return m_client.drop(self);
         const auto now = m_client.m_loop.now();
-        const auto isReused = m_idleSince != TimePoint{};
-        if (isReused && !m_hasResponse && now - m_startedAt < kStaleConnectionWindow)
+        if (isReused() && !m_hasResponse && now - m_startedAt < kStaleConnectionWindow)
             m_client.m_staleUntil[m_server] = now + kStaleServerRetention;
-        const auto complete = clean && m_parser.finish() && !m_skipping;
+        const auto complete = clean && m_parser.finish() && !m_skipping && !m_isUnattributed;
         m_isReusable = false;
         end(complete);
     }
@@ -224,6 +233,8 @@
     TimePoint m_startedAt{};
     /// The response that is being parsed is interim or belongs to another request.
     bool m_skipping = false;
+    /// The response that is being parsed may belong to another request.
+    bool m_isUnattributed = false;
     std::size_t m_skippedBytes = 0;
     Duration m_allowedIdle{};
     TimePoint m_idleSince{};
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -486,6 +486,20 @@
     BOOST_TEST(body == "ab");
 }
 
+BOOST_AUTO_TEST_CASE(doesNotBelieveARefusalThatMayBelongToAnEarlierRequest)
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    sendRequest("1");
+    sendResponse(refusal);
+    BOOST_TEST(heads.size() == 1U);
+    sendRequest("2");
+    sendResponse(refusal);
+    BOOST_TEST(heads.size() == 1U);
+    BOOST_TEST_REQUIRE(ends.size() == 2U);
+    BOOST_TEST(!ends[1].complete);
+    BOOST_TEST(ends[1].sent);
+}
+
 BOOST_AUTO_TEST_CASE(closesAConnectionWithUnsolicitedBytes)
 {
     sendRequest("1");
