Stop a connection's timeout when the connection ends

What callers can see: every request at a gateway ends without an answer, because the process ends (LOST, and a process that ends by itself).

Cause: a request that is refused while it is read (400, 413, 431) closes its connection, which gives its stream away and is destroyed at the end of the round. Its timer stays armed. If the timeout is due when the refusal has been sent (a head of which a part came three seconds before, or a pause of the process), the timer writes a second refusal to the stream that is gone. The class: a timer that outlives what it acts on.

Fix: the timer is cancelled when the connection is removed from the server, whatever closed it.

Evidence: refusesABadHeadThatIsReadTogetherWithItsTimeout ends the test program with a memory access violation at 0x48 without the change, and passes with it.

--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -122,6 +122,12 @@
         m_server.remove(m_id);
     }
 
+    /// Prevents that a timeout that is due in this round acts on a connection that has ended.
+    auto stopTimer() -> void
+    {
+        m_server.m_loop.cancel(std::exchange(m_timer, 0));
+    }
+
     /// Closes an idle connection, unless a request has arrived on it that was not read yet.
     auto closeIfUnused() -> void
     {
@@ -311,6 +317,7 @@
     const auto found = m_connections.find(connection);
     if (found == m_connections.end())
         return;
+    found->second->stopTimer();
     // The connection may be on the call stack, so it is destroyed at the end of the round.
     std::shared_ptr<Connection> last(std::move(found->second));
     m_connections.erase(found);
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -368,6 +368,19 @@
     BOOST_TEST(closed);
 }
 
+BOOST_AUTO_TEST_CASE(refusesABadHeadThatIsReadTogetherWithItsTimeout)
+{
+    const RawClient client(address);
+    client.send("GET / HTTP/1.1\r\nHos");
+    runFor(30ms);
+    client.send("\r\n\x16 no field\r\n\r\n");
+    // The refusal takes longer than the rest of the timeout, which is due when it has been sent.
+    server.setLimits({2000, 1000, 0ms, 300ms});
+    loop.at(loop.now(), [] { std::this_thread::sleep_for(200ms); });
+    runFor(300ms);
+    BOOST_TEST(client.receive().bytes.starts_with("HTTP/1.1 4"));
+}
+
 BOOST_AUTO_TEST_CASE(asksForNoBodyThatItWillRefuse)
 {
     send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\nExpect: 100-continue\r\n\r\n");
