Close connections that become idle after a draining gateway closed the idle ones

Fix: from then on a connection is closed as soon as it is idle, unless a request has arrived on it. A stream that is closed already is not closed again.

Evidence: closesAConnectionWhoseStreamEndsAfterTheIdleOnesWereClosed is red without the change.

--- a/libs/net/include/heathergate/net/http_server.h
+++ b/libs/net/include/heathergate/net/http_server.h
@@ -78,7 +78,8 @@
     {
         m_closing = true;
     }
-    /// Closes the connections on which no request has begun.
+    /// Closes the connections on which no request has begun, and from now on each one as soon as it
+    /// is idle.
     auto closeIdle() -> void;
     auto stopListening() -> void;
 
@@ -100,6 +101,7 @@
     Handlers m_handlers;
     HttpLimits m_limits;
     bool m_closing = false;
+    bool m_closesIdle = false;
     std::unique_ptr<TcpListener> m_listener;
     std::map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
     /// Connections that have ended but for their output.
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -166,6 +166,8 @@
         m_parser.reset();
         m_stream->setReading(true);
         armTimer(m_server.m_limits.idleTimeout);
+        if (m_server.m_closesIdle && isIdle())
+            return closeIfUnused();
         if (!m_input.empty())
             m_server.m_loop.defer([&server = m_server, id = m_id] {
                 const auto found = server.m_connections.find(id);
@@ -356,6 +358,7 @@
 
 auto HttpServer::closeIdle() -> void
 {
+    m_closesIdle = true;
     std::vector<Connection *> idle;
     for (const auto &[id, connection] : m_connections) {
         if (connection->isIdle())
--- a/libs/net/src/tcp_stream.cpp
+++ b/libs/net/src/tcp_stream.cpp
@@ -129,6 +129,8 @@
 
 auto TcpStream::closeAfterWrite() -> void
 {
+    if (!isOpen())
+        return;
     m_whenDrained = WhenDrained::Close;
     if (pendingOutput() == 0)
         return close();
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -269,6 +269,19 @@
     BOOST_TEST(server.connections() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(closesAConnectionWhoseStreamEndsAfterTheIdleOnesWereClosed)
+{
+    send(kGet);
+    server.beginStream(requests.at(0).first, 200, {});
+    server.closeAfterResponses();
+    server.closeIdle();
+    server.write(requests[0].first, "part");
+    server.endStream(requests[0].first, true);
+    runFor(60ms);
+    BOOST_TEST(closed);
+    BOOST_TEST(server.connections() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(countsAConnectionWhoseRequestIsArriving)
 {
     const RawClient client(address);
