Bind a resumed stream to its version also while only one version serves

A grant that waits for its record could name an upstream that had restarted in the meantime.

Cause: what binds a stream was determined once, and 'any upstream' stood for 'any of the version that serves now'.

Fix: while a service has one version, a resumed stream is bound to that one. A stream that is recorded only at another service may have begun here before the records. A placement whose upstream has restarted is not granted but refused (not run). A record whose proposal failed is proposed again. The queue of records by time is bounded too.

Evidence: keepsAStreamThatWaitsAtItsVersionWhenAnotherOneIsAdded is red with the former rule.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -85,8 +85,8 @@
     std::chrono::milliseconds receivedAt{};
 };
 
-/// Returns why what a report says of its time cannot be true; nothing if it can. Such a report would
-/// outlast all later ones of the upstream.
+/// Returns why what a report says of its time cannot be true; nothing if it can. Such a report
+/// would outlast all later ones of the upstream.
 [[nodiscard]] auto implausibility(const UpstreamReport &report) -> std::optional<std::string>;
 
 /// State of the history replica of an instance.
@@ -298,6 +298,10 @@
     auto refuse(TimePoint now, const InstanceId &gateway, RequestId request, Code code,
                 Duration retryAfter) -> void;
     auto takeDispatcherOutput(TimePoint now) -> void;
+    auto rejected(TimePoint now, const Rejection &rejection) -> void;
+    /// Returns whether the upstream of a placement has not restarted since.
+    [[nodiscard]] auto isCurrent(const Placement &placement) const -> bool;
+    auto rejectStalePlacement(TimePoint now, RequestId request) -> void;
 
     // Calls.
     auto answerNotLeader(TimePoint now, CallToken token, std::string_view call) -> void;
--- a/libs/fleet/include/heathergate/fleet/stream_origins.h
+++ b/libs/fleet/include/heathergate/fleet/stream_origins.h
@@ -26,7 +26,7 @@
 struct StreamOrigin
 {
     enum class Kind {
-        /// The stream is new, or only one software version could have begun it.
+        /// The stream is new, or no version of the service is known to have run it.
         Any,
         /// The stream can only go on at `version`.
         One,
@@ -112,6 +112,9 @@
     };
 
     [[nodiscard]] auto isMixed(GroupTime now, const ServiceVersions &service) const -> bool;
+    /// Returns the version of a service that has only one.
+    [[nodiscard]] auto onlyVersionOf(GroupTime now, const ServiceVersions &service) const
+        -> StreamOrigin;
     [[nodiscard]] auto isRemembered(GroupTime now, GroupTime servedUntil) const -> bool;
     [[nodiscard]] auto positionOf(const ServiceId &service, const std::string &version)
         -> std::uint32_t;
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -7,6 +7,9 @@
 
 using telemetry::LogImportance;
 
+/// Retry delay for a caller whose upstream restarted before its slot was granted.
+constexpr Duration kRestartedUpstreamRetryAfter = std::chrono::milliseconds(50);
+
 auto codeOf(RejectReason reason) -> Code
 {
     switch (reason) {
@@ -207,20 +210,28 @@
     command->stream->stream = state.stream;
     command->stream->service = service.value;
     command->stream->softwareVersion = version;
-    propose(std::move(command), true, [this, request, service, version](TimePoint at, bool) {
+    propose(std::move(command), true, [this, request, version](TimePoint at, bool committed) {
         const auto found = m_admissions.find(request);
         if (found == m_admissions.end() || !found->second.awaitsRecord)
             return;
         // A later placement of the request waits for its own record.
         const auto &current = found->second.placement;
-        if (!current || current->softwareVersion != version
-            || !m_state.streams().isRecorded(found->second.stream, service, version))
+        if (!current || current->softwareVersion != version)
             return;
+        if (!committed)
+            return recordStream(at, request, found->second);
         found->second.awaitsRecord = false;
         grantIfReady(at, request, found->second);
     });
 }
 
+auto ControlNode::isCurrent(const Placement &placement) const -> bool
+{
+    const auto upstream = m_state.upstreams().find(placement.upstream);
+    return upstream != m_state.upstreams().end()
+           && upstream->second.startedAt == placement.startedAt;
+}
+
 auto ControlNode::admitDelayed(TimePoint now) -> void
 {
     while (!m_delayed.empty() && m_delayed.begin()->first <= now) {
@@ -341,6 +352,8 @@
     if (!state.placement || state.awaitsRecord || (state.hasBudget && !state.reserved))
         return;
     const auto &placement = *state.placement;
+    if (state.stream != 0 && !isCurrent(placement))
+        return rejectStalePlacement(now, request);
     fb::GrantT grant;
     grant.request = request;
     grant.upstream = placement.upstream.value;
@@ -380,20 +393,32 @@
         recordStream(now, found->first, found->second);
         grantIfReady(now, found->first, found->second);
     }
-    for (const auto &rejection : m_dispatcher.takeRejections()) {
-        const auto found = m_admissions.find(rejection.request);
-        refuse(now, rejection.gateway, rejection.request, codeOf(rejection.reason),
-               rejection.retryAfter);
-        if (found == m_admissions.end())
-            continue;
-        // A reservation that is not committed yet is settled by the command that follows it in the
-        // log. A request that has been sent may have generated tokens; its gateway settles it.
-        if (found->second.hasBeenSent)
-            continue;
-        if (found->second.hasBudget)
-            settleBudget(found->second.program, rejection.request, 0);
-        m_admissions.erase(found);
-    }
+    for (const auto &rejection : m_dispatcher.takeRejections())
+        rejected(now, rejection);
+}
+
+auto ControlNode::rejected(TimePoint now, const Rejection &rejection) -> void
+{
+    refuse(now, rejection.gateway, rejection.request, codeOf(rejection.reason),
+           rejection.retryAfter);
+    const auto found = m_admissions.find(rejection.request);
+    // A request that has been sent may have generated tokens; its gateway settles it.
+    if (found == m_admissions.end() || found->second.hasBeenSent)
+        return;
+    // A reservation that is not committed yet is settled by the command that follows it in the log.
+    if (found->second.hasBudget)
+        settleBudget(found->second.program, rejection.request, 0);
+    m_admissions.erase(found);
+}
+
+auto ControlNode::rejectStalePlacement(TimePoint now, RequestId request) -> void
+{
+    Rejection rejection;
+    rejection.request = request;
+    rejection.gateway = m_admissions.at(request).gateway;
+    rejection.retryAfter = kRestartedUpstreamRetryAfter;
+    m_dispatcher.finish(now, request, {AttemptOutcome::Cancelled, {}, {}});
+    rejected(now, rejection);
 }
 
 } // namespace heathergate::fleet
--- a/libs/fleet/src/stream_origins.cpp
+++ b/libs/fleet/src/stream_origins.cpp
@@ -101,7 +101,7 @@
                   [&](std::uint32_t position) { return m_versions[position].service == service; });
     stream.versions.push_back(positionOf(service, version));
     m_byTime.emplace_back(now, id);
-    while (m_streams.size() > kMaxStreams) {
+    while (m_streams.size() > kMaxStreams || m_byTime.size() > 2 * kMaxStreams) {
         const auto [at, oldest] = m_byTime.front();
         m_byTime.pop_front();
         const auto found = m_streams.find(oldest);
@@ -147,23 +147,37 @@
     -> StreamOrigin
 {
     const auto service = m_services.find(serviceId);
-    if (service == m_services.end() || !isMixed(now, service->second))
+    if (service == m_services.end())
         return {StreamOrigin::Kind::Any};
+    if (!isMixed(now, service->second))
+        return onlyVersionOf(now, service->second);
     if (id == 0)
         return {StreamOrigin::Kind::Unknown};
-    if (const auto found = m_streams.find(id); found != m_streams.end()) {
+    const auto found = m_streams.find(id);
+    if (found != m_streams.end()) {
         for (const auto position : found->second.versions) {
             if (m_versions[position].service == serviceId)
                 return {StreamOrigin::Kind::One, m_versions[position].version};
         }
-        return {StreamOrigin::Kind::Any}; // It has run only at other services.
     }
     // A stream without a record began before streams were recorded, if that is recent enough.
     const auto mayPrecedeRecords = m_recordingSince && now - *m_recordingSince <= m_retention
                                    && (!m_droppedAt || *m_droppedAt < *m_recordingSince);
-    if (!mayPrecedeRecords || service->second.beforeMixing.empty())
-        return {StreamOrigin::Kind::Unknown};
-    return {StreamOrigin::Kind::One, service->second.beforeMixing};
+    if (mayPrecedeRecords && !service->second.beforeMixing.empty())
+        return {StreamOrigin::Kind::One, service->second.beforeMixing};
+    if (found != m_streams.end() && !mayPrecedeRecords)
+        return {StreamOrigin::Kind::Any}; // It has run only at other services.
+    return {StreamOrigin::Kind::Unknown};
+}
+
+auto StreamOrigins::onlyVersionOf(GroupTime now, const ServiceVersions &service) const
+    -> StreamOrigin
+{
+    for (const auto &[version, servedUntil] : service.servedUntil) {
+        if (isRemembered(now, servedUntil))
+            return {StreamOrigin::Kind::One, version};
+    }
+    return {StreamOrigin::Kind::Any};
 }
 
 auto StreamOrigins::snapshot() const -> fb::StreamOriginsT
--- a/libs/fleet/test/control_streams_test.cpp
+++ b/libs/fleet/test/control_streams_test.cpp
@@ -56,11 +56,16 @@
         return admission;
     }
 
-    /// Returns the upstream that is granted, or the number of the refusal's code.
-    auto ask(const fb::AdmissionT &admission) -> std::string
+    auto send(const fb::AdmissionT &admission) -> void
     {
         fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(admission)));
         fleet.run(60ms);
+    }
+
+    /// Returns the upstream that is granted, or the number of the refusal's code.
+    auto ask(const fb::AdmissionT &admission) -> std::string
+    {
+        send(admission);
         const auto answers = fleet.sentTo("g");
         BOOST_TEST_REQUIRE(!answers.empty());
         if (const auto *grant = std::get_if<fb::GrantT>(&answers.front()))
@@ -144,6 +149,23 @@
     BOOST_TEST(resume(0) == kVersionGone);
 }
 
+BOOST_AUTO_TEST_CASE(keepsAStreamThatWaitsAtItsVersionWhenAnotherOneIsAdded)
+{
+    constexpr StreamId kMoreThanSlots = 8;
+    for (StreamId stream = 1; stream <= kMoreThanSlots; ++stream)
+        send(request(stream, false));
+    BOOST_TEST(fleet.sentTo("g").size() < kMoreThanSlots);
+    send(request(kStream, true));
+    BOOST_TEST(fleet.sentTo("g").empty());
+    add("new", "v2", 2, 9001);
+    const auto resumed = lastRequest;
+    fleet.run(50ms);
+    for (const auto &message : fleet.sentTo("g")) {
+        const auto *grant = std::get_if<fb::GrantT>(&message);
+        BOOST_TEST((grant == nullptr || grant->request != resumed || grant->upstream == "old"));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(goesOnAtTheVersionThatServedBeforeTheSecondOne)
 {
     BOOST_TEST(begin(kStream) == "old");
