Keep streams that wait for their version from holding up other requests

A stream whose only upstreams of its version had failed it waited until its time was up. Streams were queued far beyond what the slots of their version can serve in time. A request that was placed was placed there again although its upstream had restarted with another version.

Fix: only requests that no version binds count as skipped; a bound request may run at an upstream that it avoids if there is no other of its version; the predicted wait counts the requests bound to the same version against its slots; a repeated placement is checked.

--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -222,6 +222,9 @@
     [[nodiscard]] static auto isCompatible(const Upstream &upstream, const Work &work) -> bool;
     /// Returns whether an upstream that accepts requests has software that may run the request.
     [[nodiscard]] auto hasCompatibleUpstream(const Work &work) const -> bool;
+    /// Lets a request that is bound to a software version run at upstreams that it avoids, if it
+    /// avoids all of that version.
+    auto permitAvoidedIfNoOtherIsCompatible(Work &work) const -> void;
     /// Returns the upstream at which the request has to resume, if it is still the same.
     [[nodiscard]] auto pinnedUpstream(const Work &work) const -> const Upstream *;
     [[nodiscard]] static auto queueKeyOf(TimePoint now, const Work &work) -> QueueKey;
@@ -229,8 +232,11 @@
     [[nodiscard]] auto expectedWait(TimePoint now, const ServiceState &service,
                                     const WorkState &state) const -> Duration;
     /// Returns the wait that follows from the number of slots and the requests ahead.
-    [[nodiscard]] auto waitForSlots(const ServiceState &service, const Work &work,
+    [[nodiscard]] auto waitForSlots(const ServiceState &service, const WorkState &state,
                                     std::size_t ahead) const -> Duration;
+    /// Returns the number of queued requests before this one that are bound to the same version.
+    [[nodiscard]] auto boundAhead(const ServiceState &service, const WorkState &state) const
+        -> std::size_t;
     auto place(TimePoint now, WorkState &state, const UpstreamId &upstream) -> void;
     auto reject(TimePoint now, RequestId request, RejectReason reason, Duration retryAfter) -> void;
     auto fillFreeSlots(TimePoint now, const ServiceId &service) -> void;
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -65,10 +65,15 @@
 {
     if (const auto known = m_work.find(work.id); known != m_work.end()) {
         auto &state = known->second;
-        if (state.placedAt)
-            m_placements.push_back(
-                placementOf(state, m_upstreams.at(*state.placedAt), now - state.submittedAt));
-        return;
+        if (!state.placedAt)
+            return;
+        const auto &upstream = m_upstreams.at(*state.placedAt);
+        if (isCompatible(upstream, work)) {
+            m_placements.push_back(placementOf(state, upstream, now - state.submittedAt));
+            return;
+        }
+        // The upstream has restarted with another software version.
+        finish(now, work.id, {AttemptOutcome::Cancelled, {}, {}});
     }
     const auto id = work.id;
     auto &state = m_work[id];
@@ -76,6 +81,7 @@
     state.submittedAt = now;
     if (m_poison.isPoison(now, state.work.fingerprint))
         return reject(now, id, RejectReason::Poison, Duration::zero());
+    permitAvoidedIfNoOtherIsCompatible(state.work);
     if (!hasCompatibleUpstream(state.work))
         return reject(now, id, RejectReason::StreamVersionGone, Duration::zero());
     if (!state.work.isStarted && state.work.finishBy)
@@ -215,7 +221,7 @@
     const auto &key = state.key;
     const auto place = service.queue.lower_bound(key);
     const auto ahead = std::distance(service.queue.begin(), place);
-    const auto wait = waitForSlots(service, state.work, static_cast<std::size_t>(ahead));
+    const auto wait = waitForSlots(service, state, static_cast<std::size_t>(ahead));
     const auto rate = service.firstTurns.find(key.rank);
     if (!key.isNew || rate == service.firstTurns.end())
         return wait;
@@ -224,7 +230,7 @@
     return std::max(wait, rate->second.waitBehind(now, aheadInClass).value_or(Duration::zero()));
 }
 
-auto Dispatcher::waitForSlots(const ServiceState &service, const Work &work,
+auto Dispatcher::waitForSlots(const ServiceState &service, const WorkState &state,
                               std::size_t ahead) const -> Duration
 {
     double slots = 0;
@@ -233,16 +239,31 @@
         const auto &upstream = m_upstreams.at(id);
         const auto usable = usableSlots(upstream, service);
         slots += usable;
-        compatibleSlots += isCompatible(upstream, work) ? usable : 0;
+        compatibleSlots += isCompatible(upstream, state.work) ? usable : 0;
     }
     const auto roundsOf = [](std::size_t requests, double available) {
         return static_cast<double>(requests) / (available > 0 ? available : 1);
     };
-    // The requests ahead use all slots, this one only those that may run it.
-    const auto rounds = roundsOf(ahead, slots) + roundsOf(1, compatibleSlots);
+    // Those that are bound to the same version use only its slots.
+    const auto rounds = std::max(roundsOf(ahead + 1, slots),
+                                 roundsOf(boundAhead(service, state) + 1, compatibleSlots));
     return fromSeconds(rounds * service.meanDurationSeconds);
 }
 
+auto Dispatcher::boundAhead(const ServiceState &service, const WorkState &state) const
+    -> std::size_t
+{
+    const auto &origin = state.work.origin;
+    if (origin.kind != StreamOrigin::Kind::One)
+        return 0;
+    const auto place = service.queue.lower_bound(state.key);
+    return static_cast<std::size_t>(
+        std::count_if(service.queue.begin(), place, [&](const QueueKey &key) {
+            const auto &other = m_work.at(key.request).work.origin;
+            return other.kind == origin.kind && other.version == origin.version;
+        }));
+}
+
 auto Dispatcher::enqueue(TimePoint now, const WorkState &state) -> void
 {
     auto &service = m_services[state.work.service];
@@ -332,11 +353,12 @@
             continue;
         const auto *chosen = choose(now, state.work);
         if (chosen == nullptr) {
-            // The request avoids the upstreams that have a free slot, or cannot run there.
-            if (isBound && state.work.avoid.empty())
-                fullVersions.insert(origin.version);
-            else
+            // The request avoids the upstreams that have a free slot, or cannot run there. Requests
+            // bound to a version do not keep others from the slots of other versions.
+            if (!isBound)
                 ++skipped;
+            else if (state.work.avoid.empty())
+                fullVersions.insert(origin.version);
             continue;
         }
         removeFromQueue(now, state, true);
--- a/libs/fleet/src/dispatcher_upstreams.cpp
+++ b/libs/fleet/src/dispatcher_upstreams.cpp
@@ -211,6 +211,21 @@
                        });
 }
 
+auto Dispatcher::permitAvoidedIfNoOtherIsCompatible(Work &work) const -> void
+{
+    const auto service = m_services.find(work.service);
+    if (work.origin.kind != StreamOrigin::Kind::One || service == m_services.end())
+        return;
+    const auto isOther = [&](const UpstreamId &id) {
+        const auto &upstream = m_upstreams.at(id);
+        return !upstream.isRetired && isCompatible(upstream, work)
+               && std::find(work.avoid.begin(), work.avoid.end(), id) == work.avoid.end();
+    };
+    const auto &upstreams = service->second.upstreams;
+    if (std::none_of(upstreams.begin(), upstreams.end(), isOther))
+        work.avoid.clear();
+}
+
 auto Dispatcher::pinnedUpstream(const Work &work) const -> const Upstream *
 {
     if (!work.pinnedUpstream)
