Check in the soak that no stream joins two software versions

The simulated upstreams start with one of two software versions at random and write it into their events. Callers resume four of five interrupted streams at the last event, naming the attempt that brought the first one, and check that all events of a stream have one version. A refusal of an upstream names its request, as the upstreams of the platform do.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -23,6 +23,9 @@
 constexpr std::uint64_t kMaxBodyBytes = 4000;
 /// Share of programs that continue the conversation of the program before.
 constexpr double kContinueShare = 0.5;
+constexpr int kUnavailable = 503;
+/// Share of interrupted streams that are resumed; the others begin anew.
+constexpr double kResumeShare = 0.8;
 constexpr std::size_t kMaxConversationBytes = 100'000;
 
 auto retryAfter(const net::HttpHead &head) -> std::optional<Duration>
@@ -169,6 +172,10 @@
     net::appendHeader(out, header::kProgram, m_program.name);
     net::appendHeader(out, header::kFinishIn, "5000");
     if (isTurn) {
+        if (m_exchange.resumes) {
+            net::appendHeader(out, header::kLastEvent, std::to_string(m_exchange.lastEvent));
+            net::appendHeader(out, header::kResumedAttempt, m_exchange.firstAttempt);
+        }
         if (!issued.previousTurn.empty())
             net::appendHeader(out, header::kPreviousTurn, issued.previousTurn);
         net::appendHeader(out, header::kTokenBudget, std::to_string(m_program.budget));
@@ -193,8 +200,9 @@
     m_exchange.head = {};
     m_exchange.body.clear();
     m_exchange.events.reset();
-    m_exchange.output.clear();
-    m_exchange.lastEvent = 0;
+    if (m_exchange.lastEvent == 0 || m_random.unit() >= kResumeShare)
+        forgetStream();
+    m_exchange.resumes = m_exchange.lastEvent > 0;
     m_observations.issued(issued);
     m_current = ++m_lastId;
     net::OutgoingRequest request;
@@ -215,6 +223,13 @@
     });
 }
 
+auto Caller::forgetStream() -> void
+{
+    m_exchange.output.clear();
+    m_exchange.lastEvent = 0;
+    m_exchange.firstAttempt.clear();
+}
+
 auto Caller::headReceived(net::OutgoingId id, const net::HttpHead &head) -> void
 {
     if (id == m_directoryCall)
@@ -240,8 +255,12 @@
     for (const auto &event : m_exchange.events.feed(bytes)) {
         const auto number = event.id.value_or(0);
         const auto data = event.bytes.substr(event.bytes.find("data: ") + 6);
+        const auto version = Upstream::versionOf(fleet::eventData(event.bytes));
         m_observations.eventReceived(issued.id, m_exchange.lastEvent, number, data,
-                                     Upstream::eventData(issued.target, number) + "\n\n");
+                                     Upstream::eventData(issued.target, number, version) + "\n\n");
+        if (m_exchange.firstAttempt.empty())
+            m_exchange.firstAttempt = issued.id;
+        m_observations.versionReceived(m_exchange.firstAttempt, issued.id, version);
         m_exchange.lastEvent = number;
         m_exchange.output += fleet::eventData(event.bytes) + '\n';
         m_observations.tokensReceived(m_program.name, Upstream::kTokensPerEvent,
@@ -285,6 +304,8 @@
         m_observations.streamTruncated(issued.id, m_exchange.lastEvent);
     if (isCompleteStream)
         continueConversation();
+    if (head.status == kUnavailable)
+        forgetStream(); // The stream may be impossible to resume, so that it begins anew.
     constexpr int kNotFound = 404;
     if (head.status == kNotFound && !issued.previousTurn.empty())
         m_observations.turnDenied(issued.id, issued.previousTurn);
@@ -306,6 +327,10 @@
 auto Caller::continueConversation() -> void
 {
     auto &conversation = m_program.conversation;
+    if (m_exchange.resumes) {
+        conversation = {}; // No gateway holds all events of a stream that its caller resumed.
+        return;
+    }
     conversation.customer = m_exchange.issued.customer;
     conversation.lastTurn = m_exchange.issued.id;
     conversation.content += m_exchange.issued.body + m_exchange.output;
@@ -315,7 +340,7 @@
 auto Caller::retryPause() const -> std::optional<Duration>
 {
     const auto status = m_exchange.head.status;
-    if (status == 503 || status == 429)
+    if (status == kUnavailable || status == 429)
         return retryAfter(m_exchange.head).value_or(kRetryPause);
     const auto failed = status == 0 || status >= 500;
     if (failed && m_exchange.issued.kind != RequestKind::RunsOnce)
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -79,6 +79,10 @@
         std::string output;
         fleet::EventSplitter events;
         std::uint64_t lastEvent = 0;
+        /// The attempt that brought the first event of the stream.
+        std::string firstAttempt;
+        /// The current attempt goes on after `lastEvent`.
+        bool resumes = false;
         bool cancels = false;
     };
 
@@ -91,6 +95,8 @@
     auto headReceived(net::OutgoingId id, const net::HttpHead &head) -> void;
     auto bodyReceived(net::OutgoingId id, std::string_view bytes) -> void;
     auto takeEvents(std::string_view bytes) -> void;
+    /// Discards what was received, so that the next attempt begins the stream anew.
+    auto forgetStream() -> void;
     auto ended(net::OutgoingId id, net::OutgoingResult end) -> void;
     auto requestEnded(const net::OutgoingResult &end) -> void;
     auto continueConversation() -> void;
--- a/soak/observations.cpp
+++ b/soak/observations.cpp
@@ -133,6 +133,15 @@
         reportViolation("valid key accepted", issued.id + " at " + issued.gateway.value);
 }
 
+auto Observations::versionReceived(const std::string &stream, const std::string &id,
+                                   const std::string &version) -> void
+{
+    const auto [begun, isNew] = m_streamVersions.try_emplace(stream, version);
+    if (!isNew && begun->second != version)
+        reportViolation("one software version in a stream",
+                        id + " resumed " + stream + " of " + begun->second + " at " + version);
+}
+
 auto Observations::produced(const std::string &id, const std::string &signature,
                             const std::string &body) -> void
 {
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -134,6 +134,10 @@
     /// 0.
     auto eventReceived(const std::string &id, std::uint64_t last, std::uint64_t event,
                        const std::string &data, const std::string &expected) -> void;
+    /// Checks that all events of a stream were written by one software version. A stream is
+    /// identified by the attempt that brought its first event.
+    auto versionReceived(const std::string &stream, const std::string &id,
+                         const std::string &version) -> void;
     /// Checks that a turn was not refused because the turn that it continues is unknown.
     auto turnDenied(const std::string &id, const std::string &previousTurn) -> void;
     /// Reports a stream that ended as complete without its last event.
@@ -230,6 +234,8 @@
     std::unordered_map<std::string, std::vector<ObservedRun>> m_runs;
     /// Bodies of the upstreams' answers by request and signature.
     std::unordered_map<std::string, std::map<std::string, std::string>> m_produced;
+    /// The software version that began each stream.
+    std::unordered_map<std::string, std::string> m_streamVersions;
     std::map<std::string, RateLimit> m_limits;
     std::map<std::string, std::deque<TimePoint>> m_runTimes;
     std::map<std::string, std::int64_t> m_tokens;
--- a/soak/test/observations_test.cpp
+++ b/soak/test/observations_test.cpp
@@ -74,6 +74,16 @@
     BOOST_TEST(violatedInvariants().empty());
 }
 
+BOOST_AUTO_TEST_CASE(reportsAStreamWithEventsOfTwoSoftwareVersions)
+{
+    observations.versionReceived("first", "first", "v1");
+    observations.versionReceived("first", "second", "v1");
+    observations.versionReceived("other", "other", "v2");
+    BOOST_TEST(violatedInvariants().empty());
+    observations.versionReceived("first", "third", "v2");
+    BOOST_TEST(violatedInvariants() == Invariants{"one software version in a stream"});
+}
+
 BOOST_AUTO_TEST_CASE(reportsAnExecutionWithoutARequest)
 {
     observations.ran(runOf("r"));
--- a/soak/upstream.cpp
+++ b/soak/upstream.cpp
@@ -19,6 +19,10 @@
 constexpr Duration kEventInterval = std::chrono::milliseconds(12);
 constexpr Duration kMinCallTime = std::chrono::milliseconds(5);
 constexpr std::uint64_t kCallTimeSpreadMs = 40;
+/// Separates the version from the rest of an event's data.
+constexpr char kVersionMark = '@';
+/// Number of software versions among which the starts of upstreams alternate at random.
+constexpr std::uint64_t kSoftwareVersions = 2;
 /// Separates the identifier of the upstream from that of the request in a signature.
 constexpr char kSignatureMark = '.';
 /// Time that an upstream serves after its drain was acknowledged.
@@ -34,18 +38,26 @@
         .count();
 }
 
-auto eventText(const std::string &target, std::uint64_t number) -> std::string
+auto eventText(const std::string &target, std::uint64_t number, const std::string &version)
+    -> std::string
 {
-    return "id: " + std::to_string(number) + "\ndata: " + Upstream::eventData(target, number)
-           + "\n\n";
+    return "id: " + std::to_string(number)
+           + "\ndata: " + Upstream::eventData(target, number, version) + "\n\n";
 }
 
 } // namespace
 
-auto Upstream::eventData(const std::string &target, std::uint64_t number) -> std::string
+auto Upstream::eventData(const std::string &target, std::uint64_t number,
+                         const std::string &version) -> std::string
 {
     const auto hash = hash64(target, number);
-    return toHex({reinterpret_cast<const char *>(&hash), sizeof(hash)});
+    return toHex({reinterpret_cast<const char *>(&hash), sizeof(hash)}) + kVersionMark + version;
+}
+
+auto Upstream::versionOf(const std::string &eventData) -> std::string
+{
+    const auto mark = eventData.find(kVersionMark);
+    return mark == std::string::npos ? std::string() : eventData.substr(mark + 1);
 }
 
 auto Upstream::eventCount(const std::string &target) -> std::uint64_t
@@ -93,6 +105,7 @@
     ++m_starts;
     if (!sameId || m_id.empty())
         m_id = m_identity.name + "-" + std::to_string(m_starts);
+    m_softwareVersion = "v" + std::to_string(1 + m_random.below(kSoftwareVersions));
     m_startTimeMs = wallClockMilliseconds();
     m_sequence = 0;
     m_state = State::Ready;
@@ -146,7 +159,7 @@
     const auto isMisdirected = !expected.empty() && expected != m_id;
     const auto isFull = m_running.size() >= static_cast<std::size_t>(m_identity.slots);
     if (isMisdirected || isFull || m_random.unit() < m_faults.declineShare)
-        return decline(exchange);
+        return decline(exchange, request);
     observe(request);
     if (m_faults.isUnresponsive) {
         m_running[exchange] = {std::string(headers.value(header::kRequestId)), request.head.target,
@@ -177,11 +190,13 @@
     return UpstreamId(signature.substr(0, signature.find(kSignatureMark)));
 }
 
-auto Upstream::decline(net::ExchangeId exchange) -> void
+auto Upstream::decline(net::ExchangeId exchange, const net::HttpRequest &request) -> void
 {
     constexpr int kUnavailable = 503;
     net::HttpResponse response;
     response.status = kUnavailable;
+    response.headers.add(std::string(header::kRequestId),
+                         std::string(request.head.headers.value(header::kRequestId)));
     response.headers.add(std::string(header::kNotExecuted), "1");
     if (m_state != State::Ready)
         response.headers.add(std::string(header::kLeaving), "1");
@@ -229,12 +244,13 @@
     const auto count = eventCount(running.target);
     if (running.truncates && running.nextEvent > count / 2) {
         // The stream ends within an event.
-        m_server->write(exchange, eventText(running.target, running.nextEvent).substr(0, 9));
+        m_server->write(
+            exchange, eventText(running.target, running.nextEvent, m_softwareVersion).substr(0, 9));
         m_server->endStream(exchange, false);
         return removeExchange(exchange);
     }
     if (running.nextEvent <= count)
-        m_server->write(exchange, eventText(running.target, running.nextEvent));
+        m_server->write(exchange, eventText(running.target, running.nextEvent, m_softwareVersion));
     if (++running.nextEvent > count) {
         m_server->endStream(exchange, true);
         return removeExchange(exchange);
@@ -298,6 +314,7 @@
     heartbeat.service = m_identity.service;
     heartbeat.address = {m_identity.host, Network::kUpstreamProxyPort};
     heartbeat.domain = m_identity.domain;
+    heartbeat.softwareVersion = m_softwareVersion;
     heartbeat.slots = m_identity.slots;
     heartbeat.isDraining = state != State::Ready;
     heartbeat.sequence = ++m_sequence;
--- a/soak/upstream.h
+++ b/soak/upstream.h
@@ -77,9 +77,12 @@
     {
         return m_server != nullptr;
     }
-    /// Returns the data of event `number` in the stream that answers a target.
-    [[nodiscard]] static auto eventData(const std::string &target, std::uint64_t number)
-        -> std::string;
+    /// Returns the data of event `number` in the stream that answers a target, as upstreams of a
+    /// software version write it.
+    [[nodiscard]] static auto eventData(const std::string &target, std::uint64_t number,
+                                        const std::string &version) -> std::string;
+    /// Returns the software version that wrote the data of an event.
+    [[nodiscard]] static auto versionOf(const std::string &eventData) -> std::string;
     /// Returns the number of events that answer a target: the number after its last slash.
     [[nodiscard]] static auto eventCount(const std::string &target) -> std::uint64_t;
 
@@ -98,7 +101,7 @@
     auto requested(net::ExchangeId exchange, const net::HttpRequest &request) -> void;
     /// Returns the headers that every answer to a request carries.
     [[nodiscard]] auto answerHeaders(const std::string &request) const -> net::HeaderList;
-    auto decline(net::ExchangeId exchange) -> void;
+    auto decline(net::ExchangeId exchange, const net::HttpRequest &request) -> void;
     auto observe(const net::HttpRequest &request) -> void;
     auto beginStream(net::ExchangeId exchange, const net::HttpRequest &request) -> void;
     auto sendEvent(net::ExchangeId exchange) -> void;
@@ -124,6 +127,8 @@
     UpstreamFaults m_faults;
     State m_state = State::Ready;
     std::string m_id;
+    /// Changes with each start.
+    std::string m_softwareVersion;
     std::int64_t m_startTimeMs = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_starts = 0;
