Go on using upstreams that fail part of their requests when most are ejected

Cause: an upstream is ejected after three failures in a row, each time for twice as long, up to 32 s. Of the three upstreams of a service one broke off a part of its answers, one reset connections, one did not answer: all were ejected, and nothing was placed although two of them answered most requests. The class: a protection that each part applies by itself, without a bound on what all of them take away together.

Fix: while fewer than half of a service's upstreams are healthy, ejected ones that answer are used too, at the cost that their share gives them; those that stay silent are left out, as each request there costs a timeout.

Evidence: goesOnUsingThem is red without the condition; leavesOutThoseThatStaySilent and leavesOutTheOneThatFailsWhileMostDoNot hold what was.

--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -216,7 +216,12 @@
         -> double;
     [[nodiscard]] auto placementOf(const WorkState &state, const Upstream &upstream,
                                    Duration waited) const -> Placement;
-    [[nodiscard]] static auto isReachable(TimePoint now, const Upstream &upstream) -> bool;
+    [[nodiscard]] auto isReachable(TimePoint now, const Upstream &upstream) const -> bool;
+    /// Returns whether connections to an upstream succeed, as far as is known.
+    [[nodiscard]] static auto acceptsConnections(TimePoint now, const Upstream &upstream) -> bool;
+    /// Returns whether most upstreams of a service are ejected, so that those that fail only part
+    /// of their requests are needed.
+    [[nodiscard]] auto needsEjected(TimePoint now, const ServiceId &service) const -> bool;
     [[nodiscard]] auto hasReachableUpstream(TimePoint now, const Work &work) const -> bool;
     /// Returns whether the upstream's software may run the request.
     [[nodiscard]] static auto isCompatible(const Upstream &upstream, const Work &work) -> bool;
--- a/libs/fleet/src/dispatcher_upstreams.cpp
+++ b/libs/fleet/src/dispatcher_upstreams.cpp
@@ -134,10 +134,12 @@
     }
     case AttemptOutcome::Failed:
     case AttemptOutcome::Broken:
-    case AttemptOutcome::TimedOut:
         // A single failure does not mark the upstream as unreachable: it may still answer others.
         upstream.health.failed(now);
         break;
+    case AttemptOutcome::TimedOut:
+        upstream.health.failed(now, routing::Health::Failure::Silent);
+        break;
     case AttemptOutcome::Unreachable:
         upstream.lastUnreachableAt = now;
         upstream.health.timedOut(now);
@@ -174,14 +176,33 @@
         std::lround(slots + std::min(inTransit, slots * kMaxInTransitShare)));
 }
 
-auto Dispatcher::isReachable(TimePoint now, const Upstream &upstream) -> bool
+auto Dispatcher::acceptsConnections(TimePoint now, const Upstream &upstream) -> bool
 {
-    if (upstream.isRetired)
+    return !upstream.lastUnreachableAt || upstream.lastHeartbeat > *upstream.lastUnreachableAt
+           || now - *upstream.lastUnreachableAt > kUnreachableBackoff;
+}
+
+auto Dispatcher::isReachable(TimePoint now, const Upstream &upstream) const -> bool
+{
+    if (upstream.isRetired || !acceptsConnections(now, upstream))
         return false;
-    const auto reachable = !upstream.lastUnreachableAt
-                           || upstream.lastHeartbeat > *upstream.lastUnreachableAt
-                           || now - *upstream.lastUnreachableAt > kUnreachableBackoff;
-    return reachable && upstream.health.isAvailable(now);
+    return upstream.health.isAvailable(now)
+           || (!upstream.health.isSilent() && needsEjected(now, upstream.record.service));
+}
+
+auto Dispatcher::needsEjected(TimePoint now, const ServiceId &id) const -> bool
+{
+    const auto service = m_services.find(id);
+    if (service == m_services.end())
+        return false;
+    const auto &upstreams = service->second.upstreams;
+    const auto healthy =
+        std::count_if(upstreams.begin(), upstreams.end(), [&](const UpstreamId &other) {
+            const auto &upstream = m_upstreams.at(other);
+            return !upstream.isRetired && acceptsConnections(now, upstream)
+                   && upstream.health.isAvailable(now);
+        });
+    return 2 * static_cast<std::size_t>(healthy) < upstreams.size();
 }
 
 auto Dispatcher::isCompatible(const Upstream &upstream, const Work &work) -> bool
--- a/libs/fleet/test/dispatcher_upstreams_test.cpp
+++ b/libs/fleet/test/dispatcher_upstreams_test.cpp
@@ -137,4 +137,64 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(WhenMostUpstreamsFailPartOfTheirRequests, DispatcherFixture)
+
+namespace {
+
+auto failRequests(DispatcherFixture &fixture, AttemptOutcome outcome, int count) -> void
+{
+    for (int i = 0; i < count; ++i) {
+        const auto id = fixture.submit(fixture.work(kTools));
+        if (!fixture.placedIds().empty())
+            fixture.dispatcher.finish(fixture.now, id, {outcome, 10ms, 5ms});
+        fixture.dispatcher.takeRejections();
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(goesOnUsingThem)
+{
+    for (const auto *name : {"a", "b", "c"})
+        add(name, kTools, 6);
+    failRequests(*this, AttemptOutcome::Broken, 30);
+    submit(work(kTools));
+    BOOST_TEST(placedIds().size() == 1U);
+    BOOST_TEST(dispatcher.takeRejections().empty());
+}
+
+BOOST_AUTO_TEST_CASE(leavesOutThoseThatStaySilent)
+{
+    for (const auto *name : {"a", "b", "c"})
+        add(name, kTools, 6);
+    failRequests(*this, AttemptOutcome::TimedOut, 30);
+    submit(work(kTools));
+    BOOST_TEST(placedIds().empty());
+}
+
+BOOST_AUTO_TEST_CASE(leavesOutTheOneThatFailsWhileMostDoNot)
+{
+    for (const auto *name : {"a", "b", "c"})
+        add(name, kTools, 6);
+    const auto failOn = [&](const std::string &name) {
+        auto item = work(kTools);
+        for (const auto *other : {"a", "b", "c"}) {
+            if (other != name)
+                item.avoid.emplace_back(other);
+        }
+        const auto id = submit(std::move(item));
+        placedIds();
+        dispatcher.finish(now, id, {AttemptOutcome::Broken, 10ms, 5ms});
+    };
+    for (int i = 0; i < 3; ++i)
+        failOn("a");
+    for (int i = 0; i < 12; ++i)
+        submit(work(kTools));
+    const auto placed = placedAt();
+    BOOST_TEST(placed.size() == 12U);
+    BOOST_TEST(std::count(placed.begin(), placed.end(), "a") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/routing/include/heathergate/routing/health.h
+++ b/libs/routing/include/heathergate/routing/health.h
@@ -9,8 +9,11 @@
 class Health
 {
 public:
+    /// How a request failed: with a wrong answer or a broken connection, or without any answer.
+    enum class Failure { Broken, Silent };
+
     auto succeeded(TimePoint now) -> void;
-    auto failed(TimePoint now) -> void;
+    auto failed(TimePoint now, Failure failure = Failure::Broken) -> void;
     /// Records that the upstream sent nothing before a timeout. It is ejected immediately, because
     /// each further attempt would also cost a timeout.
     auto timedOut(TimePoint now) -> void;
@@ -21,6 +24,12 @@
         return now >= m_ejectedUntil;
     }
 
+    /// Returns whether the last request failed because nothing was sent before a timeout.
+    [[nodiscard]] auto isSilent() const -> bool
+    {
+        return m_isSilent;
+    }
+
     /// Returns the fraction of its usual traffic that the upstream should receive, from 0 to 1.
     [[nodiscard]] auto share(TimePoint now) const -> double;
 
@@ -29,6 +38,7 @@
 
     int m_failures = 0;
     int m_ejections = 0;
+    bool m_isSilent = false;
     TimePoint m_ejectedUntil{};
 };
 
--- a/libs/routing/src/health.cpp
+++ b/libs/routing/src/health.cpp
@@ -21,12 +21,14 @@
 auto Health::succeeded(TimePoint now) -> void
 {
     m_failures = 0;
+    m_isSilent = false;
     if (now > m_ejectedUntil + kSlowStartTime)
         m_ejections = 0;
 }
 
-auto Health::failed(TimePoint now) -> void
+auto Health::failed(TimePoint now, Failure failure) -> void
 {
+    m_isSilent = failure == Failure::Silent;
     if (++m_failures < kFailuresToEject)
         return;
     eject(now);
@@ -34,6 +36,7 @@
 
 auto Health::timedOut(TimePoint now) -> void
 {
+    m_isSilent = true;
     eject(now);
 }
 
