Let the timer own a stream that waits for its peer to close

Traced, not load: a stream that waits for its peer held itself, and its timer only pointed to it, so that it stayed for ever when the loop ended within that second.

Fix: the timer's action holds the stream, and the loop destroys its timers while it can still be used.

--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -32,7 +32,12 @@
 {
 }
 
-EventLoop::~EventLoop() = default;
+EventLoop::~EventLoop()
+{
+    // Actions of timers may own streams, which still use the loop when they are destroyed.
+    m_timerTimes.clear();
+    const auto timers = std::exchange(m_timers, {});
+}
 
 auto EventLoop::at(TimePoint time, Action action) -> TimerId
 {
--- a/libs/net/src/tcp_stream.cpp
+++ b/libs/net/src/tcp_stream.cpp
@@ -104,6 +104,7 @@
 {
     if (!isOpen())
         return;
+    const auto keepAlive = weak_from_this().lock(); // The timer may hold the last reference.
     m_loop.cancel(std::exchange(m_endTimer, 0));
     const auto handle = std::exchange(m_handle, ACE_INVALID_HANDLE);
     m_loop.reactor().remove_handler(handle, ACE_Event_Handler::ALL_EVENTS_MASK
@@ -157,7 +158,9 @@
 {
     m_isEnding = true;
     static_cast<void>(::shutdown(m_handle, SHUT_WR)); // A connection that has failed ends anyway.
-    m_endTimer = m_loop.at(m_loop.now() + kPeerCloseTimeout, [this] { close(); });
+    // From now on the timer keeps the stream alive, so that it ends with the loop at the latest.
+    m_endTimer = m_loop.at(m_loop.now() + kPeerCloseTimeout,
+                           [self = std::exchange(m_self, nullptr)] { self->close(); });
     setReading(true);
 }
 
