--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,6 +11,7 @@
 EVENTS = 8
 STREAMS = 300
 AT_ONCE = 6
+WORKERS = 7  # One in trouble is a share of .143.
 BREAK_ONE_IN = 50  # garble: share .5 of the workers break off x .02 of their answers
 FAILURE = b'event: error\ndata: {"error": "internal error"}\n\n'
 ROUTES = [
@@ -57,7 +58,7 @@
 
     workers = [
         standins.Worker(fleet, record, f"w-{i}", "svc", f"{fleet.net}.{100 + i}", 6, serve)
-        for i in range(2)
+        for i in range(WORKERS)
     ]
     for worker in workers:
         await worker.start()
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,7 +7,7 @@
 import ast
 import glob
 
-for name in ["standins.py"] + sorted(glob.glob("[1-5]/case.py")):
+for name in ["standins.py"] + sorted(glob.glob("[1-5]/*.py")) + sorted(glob.glob("left-out/*.py")):
     with open(name, encoding="utf-8") as file:
         ast.parse(file.read(), name)
 CHECK
