--- a/review/4/case.py
+++ b/review/4/case.py
@@ -23,20 +23,23 @@
 
 
 async def case(fleet, record):
-    begun, resumed = {"w-0": 0}, {"w-0": 0}
+    begun, resumed = {}, {}
+    troubled = []  # The first worker to begin 10 streams is the one in trouble.
 
     async def serve(worker, request):
         first = int(request.headers.get("last-event-id", "0")) + 1
         fields = {"X-Heathergate-Response-Signature": "sound", "Content-Type": "text/event-stream"}
-        isInTrouble = worker.name == "w-0" and standins.withTrouble()
-        breaksOff = False
-        if isInTrouble and first == 1:
-            begun["w-0"] += 1
-            breaksOff = begun["w-0"] % BREAK_ONE_IN == 10
+        name = worker.name
+        if first == 1:
+            begun[name] = begun.get(name, 0) + 1
+        if not troubled and begun.get(name, 0) >= 10 and standins.withTrouble():
+            troubled.append(name)
+        isInTrouble = name in troubled
+        breaksOff = isInTrouble and first == 1 and begun[name] % BREAK_ONE_IN == 10
         if isInTrouble and first > 1:
-            resumed["w-0"] += 1
+            resumed[name] = resumed.get(name, 0) + 1
             # srv_grey, errors: it fails x .4 of these requests, and none of the others.
-            if resumed["w-0"] % 5 in (1, 2):
+            if resumed[name] % 5 in (1, 2):
                 record(f"{worker.name} answers {request.id}, to go on at event {first}, with 500")
                 fields["Content-Length"] = len(FAILURE)
                 request.writer.write(request.head("500 Internal Server Error", fields) + FAILURE)
@@ -85,7 +88,7 @@
         connection.close()
 
     await asyncio.gather(*[client(i) for i in range(AT_ONCE)])
-    record(f"w-0: {begun['w-0']} streams begun, {resumed['w-0']} taken up")
+    record(f"in trouble: {troubled}; streams begun: {begun}; taken up: {resumed}")
     record(f"{complete} of {STREAMS} streams complete")
     record(f"answers with status 200 that hold the failure of another run: {len(joined)}")
     for worker in workers:
