Forward after a broken stream only what continues it

Cause: a gateway knew of a response only whether its head was forwarded. The body of a later attempt followed without a look at the status, the media type or the position that it belongs to. Ruled out: that only long bodies join; all statuses and lengths did.

Fix: what the caller has received (nothing, events, part of a body) decides what may follow. After events only a 200 event stream that begins with the next event; all else is read to its end and ignored, and another attempt is made, or the response ends visibly incomplete. Events without an identifier make a stream that no other attempt continues. A stream that is closed before any event and has neither length nor chunks is no whole one.

Two more of the class, mended here because the same function decides them: events that one out of order follows in the same read were written before any head, and whole events before one that is too long were lost.

--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -6,6 +6,7 @@
 #include <heathergate/fleet/leader_link.h>
 #include <heathergate/fleet/peer_frame.h>
 #include <heathergate/fleet/stream_origins.h>
+#include <heathergate/fleet/stream_position.h>
 #include <heathergate/fleet/upstream_statements.h>
 #include <heathergate/history/history_client.h>
 #include <heathergate/telemetry/telemetry.h>
@@ -167,6 +168,10 @@
     bool isLeaving = false;
     /// A statement whose value cannot be read; empty if there is none.
     std::string unreadableStatement = {};
+    /// The head names a media type other than that of a stream of events.
+    bool isOtherMediaType = false;
+    /// The body ends with the connection, because the head gives neither a length nor chunks.
+    bool endsWithConnection = false;
 };
 
 /// Result of an exchange with an upstream.
@@ -230,6 +235,15 @@
     }
 
 private:
+    /// What a caller has received of the response to its request.
+    enum class Delivery {
+        Nothing,
+        /// The head and some events of a stream, which another attempt may continue.
+        Events,
+        /// The head and a part of a body that only the same attempt can complete.
+        Body,
+    };
+
     enum class Phase {
         /// The earlier turns are being read.
         Reading,
@@ -278,13 +292,12 @@
         std::optional<TimePoint> firstByteAt;
         AttemptHead head;
         bool headReceived = false;
-        /// The head of the response was forwarded to the caller.
-        bool headForwarded = false;
+        Delivery delivered = Delivery::Nothing;
         std::string body;
         /// Bytes of the body of an invalid response.
         std::size_t ignoredBytes = 0;
         EventSplitter events;
-        std::optional<std::uint64_t> lastEvent;
+        StreamPosition position;
         std::int64_t tokens = 0;
         /// Number of attempts, including the running one.
         int tries = 0;
@@ -313,6 +326,15 @@
     /// one.
     auto returnGrant(TimePoint now, Call &call) -> void;
     auto streamData(TimePoint now, Call &call, std::string_view bytes) -> void;
+    /// Forwards complete events to the caller, after the head of the response if they are the
+    /// first.
+    auto forwardEvents(TimePoint now, Call &call, std::string events) -> void;
+    /// Returns whether the current response is a stream of events.
+    [[nodiscard]] static auto isEventStream(const Call &call) -> bool;
+    /// Returns whether the current response may be forwarded after what the caller has received.
+    [[nodiscard]] static auto mayForward(const Call &call) -> bool;
+    /// Returns whether the response to the caller can be given, or completed, by another attempt.
+    [[nodiscard]] static auto canBeContinued(const Call &call) -> bool;
     auto breakOff(TimePoint now, Call &call, bool mayHaveRun) -> void;
     [[nodiscard]] auto acceptEvent(Call &call, const StreamEvent &event) -> bool;
     auto attemptSucceeded(TimePoint now, Call &call) -> void;
--- a/libs/fleet/src/gateway_attempts.cpp
+++ b/libs/fleet/src/gateway_attempts.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kMaxBufferedBodyBytes = 256 * 1024;
 /// Maximum size of a body that is received and not forwarded, because it is no valid response.
 constexpr std::size_t kMaxIgnoredBytes = 256 * 1024;
+constexpr int kOk = 200;
 /// Retry delay for a caller whose request no upstream accepted.
 constexpr Duration kNoUpstreamRetryAfter = std::chrono::milliseconds(300);
 
@@ -33,12 +34,15 @@
     call.sentAt = now;
     call.lastByteAt = now;
     call.firstByteAt.reset();
+    call.head = {};
     call.headReceived = false;
     call.body.clear();
     call.ignoredBytes = 0;
     call.events.reset();
+    call.position.beginAttempt();
     ++call.tries;
     m_byAttempt[call.attempt] = call.request.token;
+    const auto lastEvent = call.position.lastEvent();
     m_log.add(now, LogImportance::Routine, "calls", "sent",
               {{"request", call.request.name},
                {"admission", call.admission},
@@ -49,7 +53,7 @@
                {"try", call.tries},
                {"waited_ms", now - call.arrivedAt},
                {"left_ms", call.deadline - now},
-               {"after_event", call.lastEvent ? std::to_string(*call.lastEvent) : "none"},
+               {"after_event", lastEvent ? std::to_string(*lastEvent) : "none"},
                {"version", m_configuration.version()},
                {"term", m_link.term()}});
     StartAttempt start;
@@ -59,7 +63,7 @@
     start.address = address;
     start.customer = call.customer;
     start.timeLeft = call.deadline - now;
-    start.resumeAfter = call.lastEvent;
+    start.resumeAfter = lastEvent;
     start.history = call.history;
     start.runsOnce =
         call.kind == RouteKind::Unsafe || (call.kind == RouteKind::Stream && !call.isResumable);
@@ -150,6 +154,31 @@
     submit(now, call);
 }
 
+auto Gateway::isEventStream(const Call &call) -> bool
+{
+    return call.kind == RouteKind::Stream && call.head.status == kOk && !call.head.isOtherMediaType;
+}
+
+auto Gateway::mayForward(const Call &call) -> bool
+{
+    if (call.head.declined || !call.head.isAuthentic)
+        return false;
+    return call.delivered != Delivery::Events || isEventStream(call);
+}
+
+auto Gateway::canBeContinued(const Call &call) -> bool
+{
+    switch (call.delivered) {
+    case Delivery::Nothing:
+        return true;
+    case Delivery::Events:
+        return call.position.isResumable();
+    case Delivery::Body:
+        return false;
+    }
+    return false;
+}
+
 auto Gateway::attemptData(TimePoint now, AttemptId attempt, std::string_view bytes) -> void
 {
     auto *call = byAttempt(attempt);
@@ -158,20 +187,19 @@
     call->lastByteAt = now;
     if (!call->firstByteAt)
         call->firstByteAt = now;
-    if (call->head.declined || !call->head.isAuthentic) {
+    if (!mayForward(*call)) {
         call->ignoredBytes += bytes.size();
         if (call->ignoredBytes > kMaxIgnoredBytes)
             breakOff(now, *call, !call->head.declined);
         return;
     }
-    constexpr int kOk = 200;
-    if (call->kind == RouteKind::Stream && call->head.status == kOk)
+    if (isEventStream(*call))
         return streamData(now, *call, bytes);
     call->body.append(bytes);
     if (call->body.size() < kMaxBufferedBodyBytes)
         return;
     // The body is too long to buffer. A later failure truncates the response to the caller.
-    if (!std::exchange(call->headForwarded, true))
+    if (std::exchange(call->delivered, Delivery::Body) == Delivery::Nothing)
         m_effects.emplace_back(ForwardHead{call->request.token, attempt});
     m_effects.emplace_back(ForwardData{call->request.token, std::exchange(call->body, {})});
 }
@@ -179,29 +207,35 @@
 auto Gateway::streamData(TimePoint now, Call &call, std::string_view bytes) -> void
 {
     std::string ready;
+    auto isInOrder = true;
     for (auto &event : call.events.feed(bytes)) {
-        if (!acceptEvent(call, event)) {
+        isInOrder = acceptEvent(call, event);
+        if (!isInOrder) {
             m_log.add(now, LogImportance::Important, "calls", "event_out_of_order",
                       {{"request", call.request.name},
                        {"upstream", call.upstream.value},
-                       {"number", event.id.value_or(0)},
-                       {"last", call.lastEvent.value_or(0)}});
-            if (!ready.empty())
-                m_effects.emplace_back(ForwardData{call.request.token, std::move(ready)});
-            return breakOff(now, call, true);
+                       {"number", event.id ? std::to_string(*event.id) : "none"},
+                       {"last", call.position.lastEvent().value_or(0)}});
+            break;
         }
         ready += event.bytes;
     }
-    if (call.events.isTooLong())
-        return breakOff(now, call, true);
-    if (ready.empty())
+    // The position includes these events, so that they are forwarded even if the attempt fails.
+    forwardEvents(now, call, std::move(ready));
+    if (!isInOrder || call.events.isTooLong())
+        breakOff(now, call, true);
+}
+
+auto Gateway::forwardEvents(TimePoint now, Call &call, std::string events) -> void
+{
+    if (events.empty())
         return;
-    if (!std::exchange(call.headForwarded, true)) {
+    if (std::exchange(call.delivered, Delivery::Events) == Delivery::Nothing) {
         m_effects.emplace_back(ForwardHead{call.request.token, call.attempt});
         m_metrics.observe("heathergate_first_event_seconds", {{"route", call.route}},
                           now - call.arrivedAt);
     }
-    m_effects.emplace_back(ForwardData{call.request.token, std::move(ready)});
+    m_effects.emplace_back(ForwardData{call.request.token, std::move(events)});
 }
 
 /// Ends an attempt whose response is not valid. It may have run unless the upstream declined it.
@@ -213,10 +247,8 @@
 
 auto Gateway::acceptEvent(Call &call, const StreamEvent &event) -> bool
 {
-    if (event.id && call.lastEvent && *event.id != *call.lastEvent + 1)
+    if (!call.position.accept(event))
         return false;
-    if (event.id)
-        call.lastEvent = event.id;
     call.tokens += call.tokensPerEvent;
     if (call.keepsHistory)
         call.output += eventData(event.bytes) + '\n';
@@ -234,7 +266,13 @@
         return attemptFailed(now, *call, AttemptOutcome::Broken, end.sent);
     if (call->head.declined)
         return attemptFailed(now, *call, AttemptOutcome::Declined, false);
-    if (!call->head.isAuthentic || !call->events.isAtBoundary())
+    if (!call->head.isAuthentic)
+        return attemptFailed(now, *call, AttemptOutcome::Broken, true);
+    if (!mayForward(*call))
+        return attemptFailed(now, *call, AttemptOutcome::Failed, true);
+    // A connection that was closed before any event does not show that the stream was complete.
+    const auto isEmpty = call->head.endsWithConnection && !call->firstByteAt;
+    if (isEventStream(*call) && (!call->events.isAtBoundary() || isEmpty))
         return attemptFailed(now, *call, AttemptOutcome::Broken, true);
     attemptSucceeded(now, *call);
 }
@@ -244,15 +282,14 @@
     constexpr int kFirstServerError = 500;
     const auto token = call.request.token;
     const auto failed = call.head.status >= kFirstServerError;
-    constexpr int kOk = 200;
-    if (call.keepsHistory && call.head.status == kOk)
+    if (call.keepsHistory && isEventStream(call))
         return storeTurn(now, call);
-    if (call.headForwarded) {
+    if (call.delivered == Delivery::Nothing) {
+        m_effects.emplace_back(ForwardResponse{token, call.attempt, std::move(call.body)});
+    } else {
         if (!call.body.empty())
             m_effects.emplace_back(ForwardData{token, std::move(call.body)});
-        m_effects.emplace_back(EndResponse{token, !failed});
-    } else {
-        m_effects.emplace_back(ForwardResponse{token, call.attempt, std::move(call.body)});
+        m_effects.emplace_back(EndResponse{token, true});
     }
     finish(now, call, failed ? AttemptOutcome::Failed : AttemptOutcome::Answered,
            failed ? "upstream_failure" : "answered");
@@ -289,8 +326,7 @@
 {
     const auto isRetryable =
         call.kind == RouteKind::Safe || (call.kind == RouteKind::Stream && call.isResumable);
-    const auto canContinue = !call.headForwarded || call.kind == RouteKind::Stream;
-    if ((sent && !isRetryable) || !canContinue || call.tries >= kMaxTotalAttempts
+    if ((sent && !isRetryable) || !canBeContinued(call) || call.tries >= kMaxTotalAttempts
         || now >= call.deadline)
         return false;
     reportOutcome(now, call, outcome, false);
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -95,7 +95,7 @@
         call.startBy = std::min(call.deadline, now + abandoned) - kStreamStartMargin;
     }
     call.startBy = std::max(call.startBy, now);
-    call.lastEvent = request.lastEvent;
+    call.position = StreamPosition(request.lastEvent);
     return call;
 }
 
@@ -151,7 +151,7 @@
         const auto isResumedByCaller = request.lastEvent || !request.resumedAttempt.empty();
         admission.stream =
             streamIdOf(call.customer, isResumedByCaller ? request.resumedAttempt : request.name);
-        admission.resumes = call.lastEvent || isResumedByCaller;
+        admission.resumes = call.position.lastEvent() || isResumedByCaller;
     }
     if (call.phase == Phase::Running)
         admission.runningAt = call.upstream.value;
@@ -266,7 +266,7 @@
                {"held_ms", now - call.arrivedAt},
                {"version", m_configuration.version()}});
     const std::string label(codeInfo(error.code).name);
-    if (call.headForwarded)
+    if (call.delivered != Delivery::Nothing)
         m_effects.emplace_back(EndResponse{token, false});
     else
         m_effects.emplace_back(RefuseCaller{token, std::move(error)});
--- a/libs/fleet/src/gateway_history.cpp
+++ b/libs/fleet/src/gateway_history.cpp
@@ -38,7 +38,7 @@
     reportOutcome(now, call, AttemptOutcome::Answered, true);
     call.settledByLeader = true;
     m_byAttempt.erase(call.attempt);
-    if (!std::exchange(call.headForwarded, true))
+    if (std::exchange(call.delivered, Delivery::Events) == Delivery::Nothing)
         m_effects.emplace_back(ForwardHead{call.request.token, call.attempt});
     call.phase = Phase::Storing;
     history::Turn turn;
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -545,6 +545,34 @@
     BOOST_TEST(ends[0].sent);
 }
 
+// Guards against a response that was cut and is taken for a whole one.
+BOOST_AUTO_TEST_CASE(takesNoResponseThatWasCutForAWholeOne)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 7\r\n";
+    struct Case
+    {
+        std::string bytes;
+        /// Number of bytes from which on an orderly close completes the response.
+        std::size_t wholeFrom = 0;
+    };
+    const auto withLength = head + "Content-Length: 3\r\n\r\nabc";
+    const auto inChunks = head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    const std::vector<Case> cases{{withLength, withLength.size()},
+                                  {inChunks, inChunks.size()},
+                                  {head + "\r\nabc", head.size() + 2}};
+    for (const auto &[bytes, wholeFrom] : cases) {
+        for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+            const auto endsBefore = ends.size();
+            sendRequest();
+            accepted.back()->write(bytes.substr(0, cut));
+            accepted.back()->closeAfterWrite();
+            while (ends.size() == endsBefore)
+                loop.runUntil(BootClock().now() + 1ms);
+            BOOST_TEST(ends.back().complete == (cut >= wholeFrom), bytes.substr(0, cut));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(completesAResponseWithoutLengthAtAnOrderlyClose)
 {
     sendRequest();
