Do not take a response whose head was cut for a whole one in serve

Cause: libcurl reports success for a connection that is closed within the head, and the client took that for a complete response. join has its own parser and is not affected.

Fix: without the empty line that ends a head the exchange has failed.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -33,6 +33,8 @@
     CURL *handle = nullptr;
     curl_slist *headers = nullptr;
     AnswerHead head;
+    /// The empty line after the head was received.
+    bool headIsWhole = false;
     bool headSent = false;
 
     ~Transfer()
@@ -62,11 +64,14 @@
     if (line.starts_with("HTTP/")) {
         // Discards the head of an interim response.
         transfer.head = {};
+        transfer.headIsWhole = false;
         const auto space = line.find(' ');
         if (space != std::string::npos)
             transfer.head.status = std::atoi(line.c_str() + space + 1);
         return size * count;
     }
+    if (line.empty())
+        transfer.headIsWhole = true;
     const auto colon = line.find(':');
     if (colon == std::string::npos)
         return size * count;
@@ -199,15 +204,25 @@
                 continue;
             Transfer *transfer = nullptr;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
-            const auto result = message->data.result;
-            if (result == CURLE_OK)
-                transfer->emitHead();
-            transfer->emit(AnswerEnd{result == CURLE_OK, mayHaveBeenSent(*transfer, result),
-                                     result == CURLE_OK ? "" : curl_easy_strerror(result)});
+            end(*transfer, message->data.result);
             remove(transfer->request.id);
         }
     }
 
+    static auto end(Transfer &transfer, CURLcode result) -> void
+    {
+        // libcurl reports no error if the connection is closed within the head.
+        const auto isComplete = result == CURLE_OK && transfer.headIsWhole;
+        if (isComplete)
+            transfer.emitHead();
+        std::string error;
+        if (result != CURLE_OK)
+            error = curl_easy_strerror(result);
+        else if (!isComplete)
+            error = "the connection was closed within the head";
+        transfer.emit(AnswerEnd{isComplete, mayHaveBeenSent(transfer, result), std::move(error)});
+    }
+
     static auto mayHaveBeenSent(const Transfer &transfer, CURLcode result) -> bool
     {
         if (result == CURLE_COULDNT_CONNECT || result == CURLE_COULDNT_RESOLVE_HOST
