Record most admissions before they run, and name the requests in the record

Cause: admitted requests ran while their record waited in the leader's memory, up to 150 ms; the next leader admitted as many again. A leader that is stopped dropped the record, too. Found besides: a request that waits when the leader fails was counted again, so that callers inside their rate were refused. Ruled out: a restored time that is wrong (a kill after 0.3 s does no harm).

Fix: per customer at most four requests, and a tenth of the window, run before their record is committed; the others are granted with it. A leader that hands over proposes what it has admitted. The record names the requests.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -10,6 +10,8 @@
 #include <heathergate/storage/storage_step.h>
 #include <heathergate/telemetry/telemetry.h>
 
+#include <unordered_set>
+
 namespace heathergate::fleet {
 
 /// Identity and limits of a control instance.
@@ -213,6 +215,8 @@
         StreamId stream = 0;
         /// The log does not hold yet which software version runs the stream.
         bool awaitsRecord = false;
+        /// The log does not hold yet that the request uses its customer's limit.
+        bool awaitsUse = false;
         TimePoint admittedAt{};
     };
 
@@ -220,11 +224,16 @@
     {
         consensus::Term term = 0;
         std::vector<CommitHandler> handlers;
+        std::map<CustomerId, std::vector<RequestId>> uses;
     };
 
     // Replicated log.
     auto propose(CommandPtr command, bool urgent, CommitHandler handler = {}) -> void;
     auto flushProposals(TimePoint now) -> void;
+    /// Proposes everything that waits, as one batch.
+    auto proposeBatch(TimePoint now) -> void;
+    /// Transfers leadership, after what was admitted is proposed.
+    auto handOver(TimePoint now) -> void;
     /// Adds the pending configuration to a batch, as the difference to the active one.
     auto addPendingConfiguration(fb::CommandBatchT &batch) -> void;
     auto collect(TimePoint now) -> void;
@@ -299,6 +308,11 @@
     [[nodiscard]] auto quotaOf(const fb::AdmissionT &message, const Customer &customer) const
         -> QuotaRequest;
     auto restoreQuotas(TimePoint now) -> void;
+    /// Records that a request uses its customer's limit. It is granted before the record is
+    /// committed only while few requests of the customer are not recorded.
+    auto recordUse(const fb::AdmissionT &message, AdmissionState &state) -> void;
+    auto usesRecorded(TimePoint now, const std::map<CustomerId, std::vector<RequestId>> &uses)
+        -> void;
     auto reserveBudget(const fb::AdmissionT &message) -> void;
     auto settleBudget(const ProgramKey &program, RequestId request, std::int64_t used) -> void;
     auto reserved(TimePoint now, const ReserveOutcome &outcome) -> void;
@@ -336,7 +350,11 @@
     std::vector<CommandPtr> m_commands;
     std::vector<CommitHandler> m_commandHandlers;
     /// Admitted requests per customer that are not in the log yet.
-    std::map<CustomerId, std::uint32_t> m_pendingUse;
+    std::map<CustomerId, std::vector<RequestId>> m_pendingUse;
+    /// Number of admitted requests per customer whose record is not committed.
+    std::unordered_map<CustomerId, std::size_t> m_unrecorded;
+    /// Requests that a former leader has admitted and recorded.
+    std::unordered_set<RequestId> m_recordedBefore;
     /// Time since which commands or admitted requests wait to be proposed.
     std::optional<TimePoint> m_oldestCommand;
     /// Whether a waiting command is proposed without the delay for batching.
--- a/libs/fleet/include/heathergate/fleet/fleet_state.h
+++ b/libs/fleet/include/heathergate/fleet/fleet_state.h
@@ -61,6 +61,14 @@
     bool granted = false;
 };
 
+/// A request whose use of its customer's limit is recorded.
+struct RecordedRequest
+{
+    RequestId request = 0;
+    /// Time of the record.
+    GroupTime at{};
+};
+
 /// What the commands of one log entry led to.
 struct AppliedBatch
 {
@@ -119,6 +127,11 @@
     {
         return m_usage;
     }
+    /// Returns the recently admitted requests whose use is recorded, the oldest first.
+    [[nodiscard]] auto recordedRequests() const -> const std::deque<RecordedRequest> &
+    {
+        return m_recordedRequests;
+    }
     /// Time for which usage is retained; the maximum quota window that a new leader can restore.
     static constexpr GroupTime kUsageRetention = std::chrono::seconds(15);
     /// Returns which software versions began the recent streams.
@@ -156,6 +169,7 @@
     std::uint64_t m_upstreamChanges = 0;
     std::unordered_map<ProgramKey, ProgramBudget> m_budgets;
     std::unordered_map<CustomerId, std::deque<CustomerUse>> m_usage;
+    std::deque<RecordedRequest> m_recordedRequests;
     StreamOrigins m_streams;
     std::set<InstanceId> m_retiring;
     GroupTime m_lastSweep{};
--- a/libs/fleet/include/heathergate/fleet/quota_table.h
+++ b/libs/fleet/include/heathergate/fleet/quota_table.h
@@ -61,6 +61,10 @@
     /// Records `count` requests that another leader admitted at a time.
     auto restore(const CustomerId &customer, TimePoint at, std::uint32_t count) -> void;
 
+    /// Returns how many admitted requests of a customer may proceed before they are recorded. If
+    /// the leader fails, its successor admits at most this many too many.
+    [[nodiscard]] auto maxUnrecorded(const QuotaLimit &limit) const -> std::size_t;
+
     /// Decides about one request. An admitted request counts in the window from the time at which
     /// it proceeds, which lies in the future if it has to wait; later requests queue behind it.
     [[nodiscard]] auto take(TimePoint now, const QuotaRequest &request) -> QuotaDecision;
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -93,7 +93,7 @@
         m_dispatcher.adopt(now, workOf(now, from, message), UpstreamId(message.runningAt));
         return;
     }
-    if (!isNew || message.again || !m_quotas)
+    if (!isNew || message.again || !m_quotas || m_recordedBefore.contains(message.request))
         return admit(now, from, message);
     const auto *customer = m_state.configuration().customer(CustomerId(message.customer));
     QuotaDecision decision;
@@ -143,11 +143,58 @@
 {
     m_quotas = std::make_unique<QuotaTable>(m_settings.quotaWindow);
     const auto groupNow = m_replica.groupTime(now);
+    std::uint64_t restored = 0;
+    m_recordedBefore.clear();
+    for (const auto &recorded : m_state.recordedRequests())
+        m_recordedBefore.insert(recorded.request);
     for (const auto &[customer, uses] : m_state.usage()) {
         for (const auto &use : uses) {
             const auto age = std::max(groupNow - use.at, GroupTime::zero());
-            if (age < m_settings.quotaWindow)
-                m_quotas->restore(customer, now - age, use.count);
+            if (age >= m_settings.quotaWindow)
+                continue;
+            m_quotas->restore(customer, now - age, use.count);
+            restored += use.count;
+        }
+    }
+    m_log.add(now, LogImportance::Important, "admission", "quotas_restored",
+              {{"in_window", restored},
+               {"requests_known", m_recordedBefore.size()},
+               {"term", m_replica.term()}});
+}
+
+auto ControlNode::recordUse(const fb::AdmissionT &message, AdmissionState &state) -> void
+{
+    const CustomerId id(message.customer);
+    m_pendingUse[id].push_back(message.request);
+    auto &unrecorded = m_unrecorded[id];
+    ++unrecorded;
+    const auto *customer = m_state.configuration().customer(id);
+    if (customer == nullptr || customer->ratePerSecond <= 0 || !m_quotas)
+        return;
+    const auto maxUnrecorded = m_quotas->maxUnrecorded({customer->ratePerSecond, customer->burst});
+    // Begins early, so that a steady sequence of requests does not wait for its records.
+    m_urgent = m_urgent || 2 * unrecorded >= maxUnrecorded;
+    if (unrecorded <= maxUnrecorded)
+        return;
+    state.awaitsUse = true;
+    m_metrics.count("heathergate_admissions_held_for_record_total", {});
+}
+
+auto ControlNode::usesRecorded(TimePoint now,
+                               const std::map<CustomerId, std::vector<RequestId>> &uses) -> void
+{
+    for (const auto &[customer, requests] : uses) {
+        const auto unrecorded = m_unrecorded.find(customer);
+        if (unrecorded != m_unrecorded.end()) {
+            unrecorded->second -= std::min(unrecorded->second, requests.size());
+            if (unrecorded->second == 0)
+                m_unrecorded.erase(unrecorded);
+        }
+        for (const auto request : requests) {
+            const auto found = m_admissions.find(request);
+            if (found == m_admissions.end() || !std::exchange(found->second.awaitsUse, false))
+                continue;
+            grantIfReady(now, request, found->second);
         }
     }
 }
@@ -159,8 +206,9 @@
     if (found == m_admissions.end())
         return; // The request was cancelled while it waited for capacity in the limit.
     auto &state = found->second;
-    if (!message.again && !message.customer.empty())
-        ++m_pendingUse[CustomerId(message.customer)];
+    const auto isCounted = m_recordedBefore.erase(message.request) > 0;
+    if (!message.again && !message.customer.empty() && !isCounted)
+        recordUse(message, state);
     if (message.again) {
         state.hasBeenSent = true;
         state.reserved = true;
@@ -349,7 +397,8 @@
 
 auto ControlNode::grantIfReady(TimePoint now, RequestId request, AdmissionState &state) -> void
 {
-    if (!state.placement || state.awaitsRecord || (state.hasBudget && !state.reserved))
+    if (!state.placement || state.awaitsRecord || state.awaitsUse
+        || (state.hasBudget && !state.reserved))
         return;
     const auto &placement = *state.placement;
     if (state.stream != 0 && !isCurrent(placement))
--- a/libs/fleet/src/control_members.cpp
+++ b/libs/fleet/src/control_members.cpp
@@ -417,7 +417,7 @@
     if (serving <= (voters.size() - 1) / 2 || !historiesCopied(now, leaving))
         return;
     if (instanceOf(leaving) == m_settings.self)
-        m_replica.transferLeadership(now);
+        handOver(now);
     else
         logGroupChange(now, "removed", leaving, m_replica.removeMember(now, leaving));
 }
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -75,10 +75,18 @@
                {"awaits_replacement", m_awaitsReplacement ? 1 : 0},
                {"voters", m_committedGroup.voters.size()},
                {"term", m_replica.term()}});
-    m_replica.transferLeadership(now);
+    handOver(now);
     sendPresence(now);
 }
 
+auto ControlNode::handOver(TimePoint now) -> void
+{
+    // Proposals are refused during the transfer, and the successor counts only what is recorded.
+    if (m_replica.role() == consensus::Role::Leader)
+        proposeBatch(now);
+    m_replica.transferLeadership(now);
+}
+
 auto ControlNode::takeOutput(TimePoint now) -> ControlOutput
 {
     collect(now);
@@ -126,13 +134,22 @@
         return;
     if (!m_urgent && now - *m_oldestCommand < kSettleDelay)
         return;
+    proposeBatch(now);
+}
+
+auto ControlNode::proposeBatch(TimePoint now) -> void
+{
+    if (m_commands.empty() && m_commandHandlers.empty() && m_pendingUse.empty())
+        return;
     fb::CommandBatchT batch;
     batch.commands = std::exchange(m_commands, {});
     addPendingConfiguration(batch);
-    for (const auto &[customer, count] : std::exchange(m_pendingUse, {})) {
+    auto uses = std::exchange(m_pendingUse, {});
+    for (const auto &[customer, requests] : uses) {
         auto used = std::make_unique<fb::CustomerUseT>();
         used->customer = customer.value;
-        used->count = count;
+        used->count = static_cast<std::uint32_t>(requests.size());
+        used->requests = requests;
         batch.used.push_back(std::move(used));
     }
     auto handlers = std::exchange(m_commandHandlers, {});
@@ -144,11 +161,13 @@
             handler(now, false);
         return;
     }
-    m_inFlight[*index] = Batch{m_replica.term(), std::move(handlers)};
+    m_inFlight[*index] = Batch{m_replica.term(), std::move(handlers), std::move(uses)};
 }
 
 auto ControlNode::addPendingConfiguration(fb::CommandBatchT &batch) -> void
 {
+    if (!m_inFlight.empty())
+        return;
     const auto pending = std::exchange(m_pendingConfiguration, std::nullopt);
     if (!pending || pending->configuration.version <= m_state.configuration().version())
         return;
@@ -247,8 +266,10 @@
         return;
     const auto isOwn = batch->second.term == entry.term;
     const auto handlers = std::move(batch->second.handlers);
+    const auto uses = std::move(batch->second.uses);
     m_inFlight.erase(batch);
     if (isOwn) {
+        usesRecorded(now, uses);
         for (const auto &outcome : applied.reservations)
             reserved(now, outcome);
     }
@@ -283,6 +304,7 @@
     m_replicaSeenAt.clear();
     m_lastSequence.clear();
     m_pendingUse.clear();
+    m_unrecorded.clear();
     m_quotas.reset();
 }
 
--- a/libs/fleet/src/fleet_state.cpp
+++ b/libs/fleet/src/fleet_state.cpp
@@ -9,6 +9,9 @@
 constexpr std::chrono::microseconds kMinRetention = std::chrono::seconds(60);
 /// Resolution of recorded usage: a customer's uses within this span share one entry.
 constexpr std::chrono::microseconds kUsageBucket = std::chrono::milliseconds(50);
+/// Time for which recorded requests are remembered, so that one which its gateway submits again to
+/// the next leader is not counted twice.
+constexpr std::chrono::microseconds kRecordedRequestRetention = std::chrono::seconds(5);
 /// Number of a caller's attempts at a stream, each as long as its route permits, for which the
 /// origin of the stream is remembered.
 constexpr int kStreamAttempts = 4;
@@ -87,6 +90,11 @@
 
 auto FleetState::recordUsage(GroupTime now, const fb::CustomerUseT &used) -> void
 {
+    while (!m_recordedRequests.empty()
+           && now - m_recordedRequests.front().at > kRecordedRequestRetention)
+        m_recordedRequests.pop_front();
+    for (const auto request : used.requests)
+        m_recordedRequests.push_back({request, now});
     auto &uses = m_usage[CustomerId(used.customer)];
     while (!uses.empty() && now - uses.front().at > kUsageRetention)
         uses.pop_front();
@@ -255,6 +263,8 @@
         }
         table.usage.push_back(std::move(usage));
     }
+    for (const auto &recorded : m_recordedRequests)
+        table.recordedRequests.emplace_back(recorded.request, recorded.at.count());
     table.streams = std::make_unique<fb::StreamOriginsT>(m_streams.snapshot());
     return pack(table);
 }
@@ -292,6 +302,8 @@
         if (uses.empty())
             m_usage.erase(CustomerId(usage->customer));
     }
+    for (const auto &recorded : table->recordedRequests)
+        m_recordedRequests.push_back({recorded.request(), GroupTime(recorded.at())});
     if (table->streams)
         m_streams.restore(*table->streams);
     return {};
--- a/libs/fleet/src/quota_table.cpp
+++ b/libs/fleet/src/quota_table.cpp
@@ -27,8 +27,18 @@
 /// admitted when no other program is open.
 constexpr double kMaxProgramShare = 0.5;
 
+/// Bounds of the requests that proceed before they are recorded, as a number and in percent of the
+/// requests in a window. Several leaders in a row may each exceed a limit by as many.
+constexpr std::size_t kMaxUnrecorded = 4;
+constexpr std::size_t kMaxUnrecordedPercent = 10;
+
 } // namespace
 
+auto QuotaTable::maxUnrecorded(const QuotaLimit &limit) const -> std::size_t
+{
+    return std::min(kMaxUnrecorded, windowLimit(limit) * kMaxUnrecordedPercent / 100);
+}
+
 auto QuotaTable::restore(const CustomerId &customer, TimePoint at, std::uint32_t count) -> void
 {
     auto &times = m_windows[customer].times;
--- a/libs/fleet/test/fleet_state_test.cpp
+++ b/libs/fleet/test/fleet_state_test.cpp
@@ -215,6 +215,29 @@
     BOOST_TEST(state.usage().at(CustomerId("c")).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(knowsRecentlyRecordedRequestsAlsoFromASnapshot)
+{
+    const auto record = [&](RequestId request) {
+        fb::CommandBatchT batch;
+        batch.used.push_back(std::make_unique<fb::CustomerUseT>());
+        batch.used.back()->customer = "c";
+        batch.used.back()->count = 1;
+        batch.used.back()->requests = {request};
+        state.apply(now, batch);
+    };
+    record(7);
+    now += std::chrono::seconds(1);
+    record(8);
+    FleetState restored;
+    BOOST_TEST(restored.restore(state.snapshot()).has_value());
+    BOOST_TEST_REQUIRE(restored.recordedRequests().size() == 2U);
+    BOOST_TEST(restored.recordedRequests().back().request == 8U);
+    BOOST_TEST((restored.recordedRequests().back().at == now));
+    now += std::chrono::seconds(10);
+    record(9);
+    BOOST_TEST(state.recordedRequests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenALargeConfigurationChanges)
--- a/libs/fleet/test/quota_table_test.cpp
+++ b/libs/fleet/test/quota_table_test.cpp
@@ -162,6 +162,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(QuotaTableTest, QuotaFixture)
 
+BOOST_AUTO_TEST_SUITE(WhenTheLeaderMayFail)
+
+BOOST_AUTO_TEST_CASE(boundsWhatProceedsBeforeItIsRecorded)
+{
+    BOOST_TEST(table.maxUnrecorded({20, 20}) == 4U);
+    BOOST_TEST(table.maxUnrecorded({1000, 0}) == 4U);
+    BOOST_TEST(table.maxUnrecorded({4, 0}) == 2U);
+    BOOST_TEST(table.maxUnrecorded({1, 1}) == 0U, "each request is recorded first");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ForSingleRequests)
 
 BOOST_AUTO_TEST_CASE(admitsACustomerWithinItsRate)
