Stay with a silent upstream until another place is granted

Cause: after 700 ms of silence the gateway closed its connection to the upstream and then asked for another place; where the leader refused (the others are silent, ejected or full) or was just being replaced, nothing was left. Ruled out by the log: upstreams that closed (ending 4, not 2), and routes or keys that changed.

Fix: the attempt goes on until another place is granted, and stays if none is, or if the upstream answers first.

--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -307,6 +307,11 @@
         /// The only upstream at which the request may be retried.
         std::optional<UpstreamId> pinnedUpstream;
         bool admittedBefore = false;
+        /// The upstream is silent and the leader was asked for a place at another one. The attempt
+        /// goes on until that place is granted, because the upstream may answer first.
+        bool seeksReplacement = false;
+        /// Earliest time at which a replacement is requested again after none was granted.
+        TimePoint nextReplacementAt{};
         /// The leader has already ended the admission, so that no completion is sent.
         bool settledByLeader = false;
     };
@@ -345,6 +350,17 @@
     auto refuse(TimePoint now, Call &call, AttemptOutcome outcome, Error error) -> void;
     auto deadlinePassed(TimePoint now, Call &call) -> void;
     auto checkIdleTimeout(TimePoint now, Call &call) -> void;
+    /// Returns the time at which the upstream of a running call counts as silent.
+    [[nodiscard]] auto silentAt(const Call &call) const -> TimePoint;
+    /// Returns whether another attempt may follow one that ends now.
+    [[nodiscard]] static auto mayRetry(TimePoint now, const Call &call, bool sent) -> bool;
+    /// Decides at which upstreams the next attempt may run, after the current one failed.
+    static auto chooseNextUpstreams(Call &call, AttemptOutcome outcome) -> void;
+    /// Stays with a silent upstream, because it has answered or no other one can take the request.
+    auto keepAttempt(TimePoint now, Call &call, std::string_view why) -> void;
+    /// Ends the attempt at a silent upstream, because a place at another one was granted.
+    auto giveUpSilentAttempt(TimePoint now, Call &call) -> void;
+    auto logFailure(TimePoint now, const Call &call, AttemptOutcome outcome, bool sent) -> void;
     [[nodiscard]] auto idleTimeoutOf(const Call &call) const -> Duration;
     [[nodiscard]] auto byAttempt(AttemptId attempt) -> Call *;
     [[nodiscard]] auto byAdmission(std::uint64_t admission) -> Call *;
--- a/libs/fleet/src/gateway.cpp
+++ b/libs/fleet/src/gateway.cpp
@@ -69,8 +69,8 @@
     for (const auto &[token, call] : m_calls) {
         const auto isBeforeStart = call.phase == Phase::Reading || call.phase == Phase::Waiting;
         next = std::min(next, isBeforeStart ? call.startBy : call.deadline);
-        if (call.phase == Phase::Running)
-            next = std::min(next, call.lastByteAt + idleTimeoutOf(call));
+        if (call.phase == Phase::Running && !call.seeksReplacement)
+            next = std::min(next, silentAt(call));
     }
     return next;
 }
--- a/libs/fleet/src/gateway_attempts.cpp
+++ b/libs/fleet/src/gateway_attempts.cpp
@@ -185,6 +185,8 @@
     if (call == nullptr)
         return;
     call->lastByteAt = now;
+    if (call->seeksReplacement)
+        keepAttempt(now, *call, "answered");
     if (!call->firstByteAt)
         call->firstByteAt = now;
     if (!mayForward(*call)) {
@@ -298,6 +300,20 @@
 auto Gateway::attemptFailed(TimePoint now, Call &call, AttemptOutcome outcome, bool sent) -> void
 {
     m_byAttempt.erase(call.attempt);
+    call.seeksReplacement = false;
+    logFailure(now, call, outcome, sent);
+    if (sent)
+        call.mayHaveRunAt.insert(call.upstream);
+    if (retry(now, call, outcome, sent))
+        return;
+    const auto ran = call.mayHaveRunAt.empty() ? Ran::No : Ran::Unknown;
+    refuse(now, call, outcome,
+           Error{ran == Ran::No ? Code::NoUpstream : Code::UpstreamFailed,
+                 "the upstream did not answer as it should", ran, kNoUpstreamRetryAfter});
+}
+
+auto Gateway::logFailure(TimePoint now, const Call &call, AttemptOutcome outcome, bool sent) -> void
+{
     m_log.add(now, LogImportance::Important, "calls", "attempt_failed",
               {{"request", call.request.name},
                {"upstream", call.upstream.value},
@@ -310,26 +326,31 @@
                {"left_ms", call.deadline - now}});
     m_metrics.count("heathergate_attempt_failures_total",
                     {{"ending", std::to_string(static_cast<int>(outcome))}});
-    if (sent)
-        call.mayHaveRunAt.insert(call.upstream);
-    if (retry(now, call, outcome, sent))
-        return;
-    const auto ran = call.mayHaveRunAt.empty() ? Ran::No : Ran::Unknown;
-    refuse(now, call, outcome,
-           Error{ran == Ran::No ? Code::NoUpstream : Code::UpstreamFailed,
-                 "the upstream did not answer as it should", ran, kNoUpstreamRetryAfter});
 }
 
 /// Requests another slot if the kind of the request allows a retry. When no other upstream may run
 /// the request, it is retried at the same upstream.
 auto Gateway::retry(TimePoint now, Call &call, AttemptOutcome outcome, bool sent) -> bool
 {
-    const auto isRetryable =
-        call.kind == RouteKind::Safe || (call.kind == RouteKind::Stream && call.isResumable);
-    if ((sent && !isRetryable) || !canBeContinued(call) || call.tries >= kMaxTotalAttempts
-        || now >= call.deadline)
+    if (!mayRetry(now, call, sent))
         return false;
     reportOutcome(now, call, outcome, false);
+    chooseNextUpstreams(call, outcome);
+    call.startBy = std::max(call.startBy, std::min(call.deadline, now + kMinIdleTimeout));
+    submit(now, call);
+    return true;
+}
+
+auto Gateway::mayRetry(TimePoint now, const Call &call, bool sent) -> bool
+{
+    const auto isRetryable =
+        call.kind == RouteKind::Safe || (call.kind == RouteKind::Stream && call.isResumable);
+    return (!sent || isRetryable) && canBeContinued(call) && call.tries < kMaxTotalAttempts
+           && now < call.deadline;
+}
+
+auto Gateway::chooseNextUpstreams(Call &call, AttemptOutcome outcome) -> void
+{
     call.pinnedUpstream.reset();
     const auto mayChangeUpstream =
         outcome == AttemptOutcome::Unreachable || outcome == AttemptOutcome::Declined
@@ -340,9 +361,6 @@
         call.pinnedUpstream = call.upstream;
     if (outcome == AttemptOutcome::Unreachable)
         call.mayHaveRunAt.erase(call.upstream); // It has terminated, and the request with it.
-    call.startBy = std::max(call.startBy, std::min(call.deadline, now + kMinIdleTimeout));
-    submit(now, call);
-    return true;
 }
 
 auto Gateway::idleTimeoutOf(const Call &call) const -> Duration
@@ -354,12 +372,57 @@
     return std::chrono::hours(1); // No retry is possible, so that only the deadline applies.
 }
 
+auto Gateway::silentAt(const Call &call) const -> TimePoint
+{
+    return std::max(call.lastByteAt + idleTimeoutOf(call), call.nextReplacementAt);
+}
+
 auto Gateway::checkIdleTimeout(TimePoint now, Call &call) -> void
 {
-    if (now - call.lastByteAt < idleTimeoutOf(call))
+    if (call.seeksReplacement || now < silentAt(call))
         return;
+    if (!mayRetry(now, call, true)) {
+        // Only this upstream can still answer.
+        call.nextReplacementAt = call.deadline;
+        return;
+    }
+    m_log.add(now, LogImportance::Important, "calls", "upstream_silent",
+              {{"request", call.request.name},
+               {"upstream", call.upstream.value},
+               {"try", call.tries},
+               {"silent_ms", now - call.lastByteAt},
+               {"left_ms", call.deadline - now}});
+    m_metrics.count("heathergate_silent_attempts_total", {{"route", call.route}});
+    reportOutcome(now, call, AttemptOutcome::TimedOut, false);
+    call.mayHaveRunAt.insert(call.upstream);
+    chooseNextUpstreams(call, AttemptOutcome::TimedOut);
+    call.startBy = std::max(call.startBy, std::min(call.deadline, now + kMinIdleTimeout));
+    call.seeksReplacement = true;
+    submit(now, call);
+}
+
+auto Gateway::keepAttempt(TimePoint now, Call &call, std::string_view why) -> void
+{
+    m_log.add(now, LogImportance::Important, "calls", "attempt_kept",
+              {{"request", call.request.name},
+               {"upstream", call.upstream.value},
+               {"why", why},
+               {"silent_ms", now - call.lastByteAt}});
+    // Takes back the request for a place, and tells the leader where the attempt still runs.
+    reportOutcome(now, call, AttemptOutcome::Cancelled, false);
+    call.seeksReplacement = false;
+    call.nextReplacementAt = std::max(call.nextReplacementAt, now + kMinIdleTimeout);
+    std::erase(call.avoid, call.upstream);
+    call.pinnedUpstream.reset();
+    sendToLeader(Message(admissionOf(now, call)));
+}
+
+auto Gateway::giveUpSilentAttempt(TimePoint now, Call &call) -> void
+{
+    call.seeksReplacement = false;
     m_effects.emplace_back(CancelAttempt{call.attempt});
-    attemptFailed(now, call, AttemptOutcome::TimedOut, true);
+    m_byAttempt.erase(call.attempt);
+    logFailure(now, call, AttemptOutcome::TimedOut, true);
 }
 
 } // namespace heathergate::fleet
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -115,7 +115,8 @@
 
 auto Gateway::submit(TimePoint now, Call &call) -> void
 {
-    call.phase = Phase::Waiting;
+    if (!call.seeksReplacement)
+        call.phase = Phase::Waiting;
     sendToLeader(Message(admissionOf(now, call)));
 }
 
@@ -153,7 +154,7 @@
             streamIdOf(call.customer, isResumedByCaller ? request.resumedAttempt : request.name);
         admission.resumes = call.position.lastEvent() || isResumedByCaller;
     }
-    if (call.phase == Phase::Running)
+    if (call.phase == Phase::Running && !call.seeksReplacement)
         admission.runningAt = call.upstream.value;
     else if (call.pinnedUpstream)
         admission.stayAt = call.pinnedUpstream->value;
@@ -176,8 +177,8 @@
 {
     auto *call = byAdmission(message.request);
     const auto address = parseEndpoint(message.address);
-    if (call != nullptr && call->phase != Phase::Waiting)
-        return; // The grant was repeated after the connection to the leader was lost.
+    if (call != nullptr && call->phase != Phase::Waiting && !call->seeksReplacement)
+        return; // It was repeated after the connection to the leader was lost, or is not needed.
     if (call == nullptr || !address) {
         fb::CompletionT completion;
         completion.request = message.request;
@@ -186,6 +187,14 @@
         sendToLeader(Message(std::move(completion)));
         return;
     }
+    const UpstreamIncarnation granted{UpstreamId(message.upstream),
+                                      std::chrono::milliseconds(message.born)};
+    if (call->seeksReplacement) {
+        // The silent attempt goes on until a usable place is granted.
+        if (m_statements.isLeaving(granted) && !call->pinnedUpstream)
+            return keepAttempt(now, *call, "replacement_leaves");
+        giveUpSilentAttempt(now, *call);
+    }
     call->upstream = UpstreamId(message.upstream);
     call->upstreamStartedAt = std::chrono::milliseconds(message.born);
     call->isUpstreamLimited = message.limited;
@@ -198,6 +207,10 @@
 auto Gateway::handle(TimePoint now, const InstanceId &, fb::RefusalT &message) -> void
 {
     auto *call = byAdmission(message.request);
+    if (call != nullptr && call->seeksReplacement) {
+        call->nextReplacementAt = now + Duration(message.retryAfter);
+        return keepAttempt(now, *call, "no_replacement");
+    }
     if (call == nullptr || call->phase != Phase::Waiting)
         return;
     const auto code = static_cast<Code>(message.code);
