Free the slots of requests whose end was not reported

Cause: completions that arrive while the leader's lease has lapsed were dropped, and nobody asked again.

Fix: a leader takes completions as long as it leads its term; gateways repeat all recent ones to the same leader; a slot is freed a second after its request's deadline in any case, with a line and a metric.

--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -129,7 +129,8 @@
     auto finish(TimePoint now, RequestId request, const AttemptReport &report) -> void;
     /// Removes all requests of a gateway that has restarted or been removed.
     auto dropGateway(TimePoint now, const InstanceId &gateway) -> void;
-    /// Fills free slots and rejects requests whose `startBy` or `deadline` has passed.
+    /// Fills free slots, rejects queued requests whose `startBy` or `deadline` has passed, and
+    /// frees the slots of running ones whose end was not reported in time.
     auto tick(TimePoint now) -> void;
 
     [[nodiscard]] auto takePlacements() -> std::vector<Placement>
@@ -140,6 +141,11 @@
     {
         return std::exchange(m_rejections, {});
     }
+    /// Returns the requests whose slots were freed because their end was not reported.
+    [[nodiscard]] auto takeOverdue() -> std::vector<RequestId>
+    {
+        return std::exchange(m_overdue, {});
+    }
     [[nodiscard]] auto nextDeadline(TimePoint now) const -> TimePoint;
 
     [[nodiscard]] auto isKnown(RequestId request) const -> bool
@@ -249,6 +255,8 @@
     auto rejectUnservable(TimePoint now, const ServiceId &service) -> void;
     auto enqueue(TimePoint now, const WorkState &state) -> void;
     auto removeFromQueue(TimePoint now, const WorkState &state, bool hasSlot) -> void;
+    /// Frees the slots of requests whose callers have left and whose end was not reported.
+    auto freeOverdueSlots(TimePoint now) -> void;
     auto updateEstimates(TimePoint now, Upstream &upstream, const WorkState &state,
                          const AttemptReport &report) -> void;
 
@@ -257,6 +265,9 @@
     std::unordered_map<RequestId, WorkState> m_work;
     /// Times at which the queued requests have to be rejected.
     std::set<std::pair<TimePoint, RequestId>> m_expiries;
+    /// Times at which the slots of running requests are freed if their end was not reported.
+    std::set<std::pair<TimePoint, RequestId>> m_slotExpiries;
+    std::vector<RequestId> m_overdue;
     PoisonRegister m_poison;
     std::vector<Placement> m_placements;
     std::vector<Rejection> m_rejections;
--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -407,8 +407,15 @@
     UpstreamStatements m_statements;
     history::HistoryClient m_history;
     bool m_leaving = false;
-    /// Recent final completions, resent to a new leader because they may have been lost.
-    std::deque<std::pair<TimePoint, fb::CompletionT>> m_recentCompletions;
+    /// A completion that may not have reached the leader.
+    struct SentCompletion
+    {
+        TimePoint at{};
+        std::uint64_t term = 0;
+        fb::CompletionT message;
+    };
+    /// Recent final completions, resent when a leader is found because they may have been lost.
+    std::deque<SentCompletion> m_recentCompletions;
 
     std::vector<GatewayEffect> m_effects;
 };
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -295,7 +295,8 @@
 
 auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::CompletionT &message) -> void
 {
-    if (!isLeader(now))
+    // While the lease has lapsed, the requests that this leader has placed still count.
+    if (m_replica.role() != consensus::Role::Leader)
         return redirect(from);
     AttemptReport report;
     report.outcome = static_cast<AttemptOutcome>(message.ending);
@@ -434,6 +435,11 @@
 
 auto ControlNode::takeDispatcherOutput(TimePoint now) -> void
 {
+    for (const auto request : m_dispatcher.takeOverdue()) {
+        m_metrics.count("heathergate_slots_overdue_total", {});
+        m_log.add(now, LogImportance::Important, "admission", "slot_overdue",
+                  {{"admission", request}, {"term", m_replica.term()}});
+    }
     for (auto &placement : m_dispatcher.takePlacements()) {
         const auto found = m_admissions.find(placement.request);
         if (found == m_admissions.end())
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -30,6 +30,9 @@
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 /// Retry delay while a service has no reachable upstream.
 constexpr Duration kNoUpstreamRetryAfter = std::chrono::milliseconds(400);
+/// Time after a request's deadline within which its gateway reports its end. After that, the report
+/// was lost.
+constexpr Duration kReportGrace = std::chrono::seconds(1);
 /// Retry delays are spread over this many steps, so that rejected requests do not all retry at
 /// the same time.
 constexpr std::uint64_t kRetrySpreadSteps = 8;
@@ -108,6 +111,7 @@
     if (found == m_upstreams.end() || m_work.contains(work.id))
         return;
     found->second.running.insert(work.id);
+    m_slotExpiries.emplace(work.deadline + kReportGrace, work.id);
     const auto id = work.id;
     m_work[id] = WorkState{std::move(work), now, upstream, Duration::zero(), {}, now};
 }
@@ -124,6 +128,7 @@
         removeFromQueue(now, state, false);
         return;
     }
+    m_slotExpiries.erase({state.work.deadline + kReportGrace, request});
     const auto upstream = m_upstreams.find(*state.placedAt);
     if (upstream != m_upstreams.end()) {
         upstream->second.running.erase(request);
@@ -147,8 +152,18 @@
         finish(now, id, {AttemptOutcome::Cancelled, {}, {}});
 }
 
+auto Dispatcher::freeOverdueSlots(TimePoint now) -> void
+{
+    while (!m_slotExpiries.empty() && m_slotExpiries.begin()->first <= now) {
+        const auto request = m_slotExpiries.begin()->second;
+        m_overdue.push_back(request);
+        finish(now, request, {AttemptOutcome::Cancelled, {}, {}});
+    }
+}
+
 auto Dispatcher::tick(TimePoint now) -> void
 {
+    freeOverdueSlots(now);
     for (auto &[id, service] : m_services)
         fillFreeSlots(now, id);
     while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
@@ -295,6 +310,7 @@
         state.expected = fromSeconds(m_services.at(work.service).meanDurationSeconds);
     }
     upstream.running.insert(work.id);
+    m_slotExpiries.emplace(work.deadline + kReportGrace, work.id);
     upstream.cache.touch(work.prompt);
     state.placedAt = id;
     state.placedTime = now;
--- a/libs/fleet/src/gateway.cpp
+++ b/libs/fleet/src/gateway.cpp
@@ -42,7 +42,7 @@
     if (now >= m_link.nextPresence())
         sendPresence(now);
     while (!m_recentCompletions.empty()
-           && now - m_recentCompletions.front().first > kCompletionRetention)
+           && now - m_recentCompletions.front().at > kCompletionRetention)
         m_recentCompletions.pop_front();
     std::vector<CallerToken> tokens;
     for (const auto &[token, call] : m_calls)
@@ -153,8 +153,11 @@
     // here.
     for (auto &statement : m_statements.all())
         sendToLeader(Message(std::move(statement)));
-    for (const auto &[at, completion] : m_recentCompletions)
-        sendToLeader(Message(completion));
+    for (const auto &sent : m_recentCompletions) {
+        // A leader of another term has no record of the slot, but of the budget.
+        if (sent.term == m_link.term() || !sent.message.program.empty())
+            sendToLeader(Message(sent.message));
+    }
     for (const auto &[token, call] : m_calls) {
         if (call.phase == Phase::Waiting || call.phase == Phase::Running)
             sendToLeader(Message(admissionOf(now, call)));
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -233,10 +233,10 @@
     completion.final = final;
     completion.duration = call.phase == Phase::Running ? (now - call.sentAt).count() : 0;
     completion.first = call.firstByteAt ? (*call.firstByteAt - call.sentAt).count() : 0;
-    if (final && call.request.budget && !call.request.program.empty()) {
+    if (final && call.request.budget && !call.request.program.empty())
         completion.program = call.customer.value + "/" + call.request.program;
-        m_recentCompletions.emplace_back(now, completion);
-    }
+    if (final)
+        m_recentCompletions.push_back({now, m_link.term(), completion});
     sendToLeader(Message(std::move(completion)));
 }
 
--- a/libs/fleet/test/control_admission_test.cpp
+++ b/libs/fleet/test/control_admission_test.cpp
@@ -58,6 +58,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenTheLeadersLeaseHasLapsed)
+
+// Guards against slots that stay taken after a short pause of the leader (review case 1).
+BOOST_AUTO_TEST_CASE(freesTheSlotsOfRequestsThatEndMeanwhile)
+{
+    constexpr RequestId kSlots = 6;
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 1, 1));
+    fleet.run(50ms);
+    auto &node = fleet.node(leader);
+    const auto ask = [&](RequestId request) {
+        fb::AdmissionT admission;
+        admission.request = request;
+        admission.service = "tools";
+        admission.budget = admission.finishIn = -1;
+        admission.timeLeft = admission.patience = 30'000'000;
+        node.receive(fleet.now(), InstanceId("g"), PeerFrame(Message(admission)));
+    };
+    const auto grants = [&] {
+        fleet.run(20ms);
+        std::size_t count = 0;
+        for (const auto &message : fleet.sentTo("g"))
+            count += std::holds_alternative<fb::GrantT>(message) ? 1 : 0;
+        return count;
+    };
+    for (RequestId request = 1; request <= kSlots; ++request)
+        ask(request);
+    BOOST_TEST(grants() == kSlots);
+    const auto term = node.replica().term();
+    fleet.suspend(leader);
+    while (node.isLeader(fleet.now()))
+        fleet.run(5ms);
+    fleet.resume(leader);
+    BOOST_TEST((node.replica().role() == consensus::Role::Leader));
+    for (RequestId request = 1; request <= kSlots; ++request) {
+        fb::CompletionT completion;
+        completion.request = request;
+        completion.final = true;
+        node.receive(fleet.now(), InstanceId("g"), PeerFrame(Message(completion)));
+    }
+    fleet.run(200ms);
+    BOOST_TEST_REQUIRE(node.isLeader(fleet.now()));
+    BOOST_TEST_REQUIRE(node.replica().term() == term);
+    for (RequestId request = 1; request <= kSlots; ++request)
+        ask(100 + request);
+    BOOST_TEST(grants() == kSlots);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAProgramSpendsItsBudget)
 
 BOOST_AUTO_TEST_CASE(refusesTheNextTurnEvenAfterAllInstancesWereKilled)
--- a/libs/fleet/test/dispatcher_test.cpp
+++ b/libs/fleet/test/dispatcher_test.cpp
@@ -38,6 +38,22 @@
     BOOST_TEST(placedAt() == std::vector<std::string>{"u"});
 }
 
+// Guards against slots that stay taken for ever because the end of their requests was lost.
+BOOST_AUTO_TEST_CASE(freesTheSlotOfARequestWhoseEndWasNotReported)
+{
+    add("u", kTools, 1);
+    const auto first = submit(work(kTools));
+    BOOST_TEST(placedAt().size() == 1U);
+    now += 3500ms;
+    dispatcher.tick(now);
+    BOOST_TEST(dispatcher.takeOverdue().empty());
+    now += 600ms;
+    dispatcher.tick(now);
+    BOOST_TEST(dispatcher.takeOverdue() == Ids{first});
+    submit(work(kTools));
+    BOOST_TEST(placedAt() == std::vector<std::string>{"u"});
+}
+
 BOOST_AUTO_TEST_CASE(spreadsRequestsOverTheUpstreams)
 {
     add("u", kTools, 6);
--- a/libs/fleet/test/gateway_test.cpp
+++ b/libs/fleet/test/gateway_test.cpp
@@ -379,6 +379,22 @@
     BOOST_TEST(again[0].program == "c/p");
 }
 
+// Guards against slots that stay taken because the end of their requests was lost.
+BOOST_AUTO_TEST_CASE(resendsAllRecentCompletionsToTheSameLeader)
+{
+    request("/safe/x");
+    const auto attempt = grant("u").attempt;
+    head(attempt);
+    m_gateway.attemptEnd(m_now, attempt, {true, true, true});
+    BOOST_TEST(take<fb::CompletionT>().size() == 1U);
+    m_gateway.peerLost(m_now, kLeader);
+    feed(kLeader, 1, 0);
+    BOOST_TEST(take<fb::CompletionT>().size() == 1U);
+    m_gateway.peerLost(m_now, kLeader);
+    feed(InstanceId("10.0.0.2"), 2, 0);
+    BOOST_TEST(take<fb::CompletionT>().empty(), "a new leader knows no slot of this request");
+}
+
 BOOST_AUTO_TEST_CASE(isNotReadyWithoutContactToAControlInstance)
 {
     BOOST_TEST(m_gateway.isReady(m_now));
