Send no request back to an upstream that has been leaving for over a second

Cause: a request that is bound to an upstream was placed there unless it was removed.

Fix: bound requests go there for one second after it became known that it leaves, and not at all under a leader that can't know since when. goesOnAtItsUpstreamWhileThatDrains, which asks for the return at once, holds as it was.

--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -168,6 +168,8 @@
         StatedRate rate;
         /// It stated that it is about to end.
         bool isRetired = false;
+        /// Time since which it is known to drain or to be about to end.
+        std::optional<TimePoint> leavingSince;
         /// End of the pause after it declined a request for lack of capacity.
         TimePoint declinedUntil{};
         bool isEngine = false;
@@ -238,6 +240,9 @@
     auto permitAvoidedIfNoOtherIsCompatible(Work &work) const -> void;
     /// Returns the upstream at which the request has to resume, if it is still the same.
     [[nodiscard]] auto pinnedUpstream(const Work &work) const -> const Upstream *;
+    /// Returns whether the request may only resume at an upstream that has been leaving for so long
+    /// that it gets no request any more.
+    [[nodiscard]] auto mustNotReturn(TimePoint now, const Work &work) const -> bool;
     [[nodiscard]] static auto queueKeyOf(TimePoint now, const Work &work) -> QueueKey;
     [[nodiscard]] auto hasFreeSlot(TimePoint now, const ServiceState &service) const -> bool;
     [[nodiscard]] auto expectedWait(TimePoint now, const ServiceState &service,
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -84,6 +84,8 @@
     state.submittedAt = now;
     if (m_poison.isPoison(now, state.work.fingerprint))
         return reject(now, id, RejectReason::Poison, Duration::zero());
+    if (mustNotReturn(now, state.work))
+        return reject(now, id, RejectReason::NoUpstream, kNoUpstreamRetryAfter);
     permitAvoidedIfNoOtherIsCompatible(state.work);
     if (!hasCompatibleUpstream(state.work))
         return reject(now, id, RejectReason::StreamVersionGone, Duration::zero());
@@ -186,7 +188,7 @@
     if (service == m_services.end())
         return nullptr;
     if (const auto *pinned = pinnedUpstream(work))
-        return pinned->rate.allows(now) ? pinned : nullptr;
+        return pinned->rate.allows(now) && !mustNotReturn(now, work) ? pinned : nullptr;
     const Upstream *best = nullptr;
     double bestCost = 0;
     for (const auto &id : service->second.upstreams) {
--- a/libs/fleet/src/dispatcher_upstreams.cpp
+++ b/libs/fleet/src/dispatcher_upstreams.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kDeclinedBackoff = std::chrono::milliseconds(60);
 /// An unreachable upstream is used again after its next heartbeat, or after this time.
 constexpr Duration kUnreachableBackoff = std::chrono::seconds(8);
+/// Time for which requests may still resume at an upstream after it became known to be leaving.
+constexpr Duration kReturnToLeavingTime = std::chrono::seconds(1);
 /// Weight of the newest sample in exponentially smoothed values.
 constexpr double kSmoothingFactor = 0.1;
 constexpr double kMaxSlowdown = 10;
@@ -34,8 +36,11 @@
     for (auto &[id, service] : m_services)
         service.upstreams.clear();
     for (const auto &[id, record] : records) {
-        if (record.phase == UpstreamPhase::Removed)
+        if (record.phase == UpstreamPhase::Removed) {
+            if (const auto known = m_upstreams.find(id); known != m_upstreams.end())
+                known->second.record.phase = record.phase;
             continue;
+        }
         auto &upstream = m_upstreams[id];
         const auto *service = configuration.service(record.service);
         const auto *engine = service != nullptr && service->engine ? &*service->engine : nullptr;
@@ -46,11 +51,15 @@
             upstream.health = {};
             upstream.rate = {};
             upstream.isRetired = false;
+            upstream.leavingSince.reset();
             upstream.slowdown = 1;
             upstream.lastUnreachableAt.reset();
         }
         upstream.isEngine = engine != nullptr;
         upstream.record = record;
+        // Nobody knows for how long one has been leaving that was so from the beginning.
+        if (record.phase == UpstreamPhase::Draining && !upstream.leavingSince)
+            upstream.leavingSince = isNew ? TimePoint{} : now;
         if (record.phase == UpstreamPhase::Ready)
             m_services[record.service].upstreams.push_back(id);
     }
@@ -106,6 +115,8 @@
     if (found == m_upstreams.end() || found->second.record.startedAt != startedAt
         || std::exchange(found->second.isRetired, true))
         return false;
+    if (!found->second.leavingSince)
+        found->second.leavingSince = now;
     rejectUnservable(now, found->second.record.service);
     return true;
 }
@@ -258,6 +269,13 @@
     return &found->second;
 }
 
+auto Dispatcher::mustNotReturn(TimePoint now, const Work &work) const -> bool
+{
+    const auto *pinned = pinnedUpstream(work);
+    return pinned != nullptr && pinned->leavingSince
+           && now - *pinned->leavingSince > kReturnToLeavingTime;
+}
+
 auto Dispatcher::hasReachableUpstream(TimePoint now, const Work &work) const -> bool
 {
     const auto service = m_services.find(work.service);
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -191,7 +191,7 @@
                                       std::chrono::milliseconds(message.born)};
     if (call->seeksReplacement) {
         // The silent attempt goes on until a usable place is granted.
-        if (m_statements.isLeaving(granted) && !call->pinnedUpstream)
+        if (m_statements.isLeaving(granted))
             return keepAttempt(now, *call, "replacement_leaves");
         giveUpSilentAttempt(now, *call);
     }
--- a/libs/fleet/test/dispatcher_upstreams_test.cpp
+++ b/libs/fleet/test/dispatcher_upstreams_test.cpp
@@ -96,6 +96,49 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAnUpstreamLeavesToWhichARequestIsBound)
+
+// Guards against a stream that is sent again to an upstream that has been draining for long.
+BOOST_AUTO_TEST_CASE(sendsItThereOnlyForAShortTime)
+{
+    for (const auto states : {false, true}) {
+        DispatcherFixture fixture;
+        fixture.add("u", kTools, 5);
+        fixture.add("v", kTools, 5);
+        const auto bound = [&] {
+            auto item = fixture.work(kTools);
+            item.pinnedUpstream = UpstreamId("u");
+            fixture.submit(std::move(item));
+            return fixture.placedIds().size();
+        };
+        if (states)
+            fixture.dispatcher.retire(fixture.now, UpstreamId("u"), std::chrono::milliseconds(1));
+        else
+            fixture.setPhase("u", UpstreamPhase::Draining);
+        fixture.now += 500ms;
+        BOOST_TEST(bound() == 1U);
+        fixture.now += 1s;
+        BOOST_TEST(bound() == 0U);
+        const auto rejected = fixture.dispatcher.takeRejections();
+        BOOST_TEST_REQUIRE(rejected.size() == 1U);
+        BOOST_TEST((rejected[0].reason == RejectReason::NoUpstream));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(doesNotSendItThereUnderTheNextLeader)
+{
+    add("u", kTools, 5);
+    setPhase("u", UpstreamPhase::Draining);
+    dispatcher = Dispatcher();
+    dispatcher.setUpstreams(now, records, configuration);
+    auto item = work(kTools);
+    item.pinnedUpstream = UpstreamId("u");
+    submit(std::move(item));
+    BOOST_TEST(placedIds().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAnUpstreamStatesThatItIsAboutToEnd)
 
 BOOST_AUTO_TEST_CASE(placesNothingThereAnyMore)
