Record in the replicated log which requests broke their upstreams

Cause: the count was in the leader's memory only.

Fix: each change of a count is recorded at once and restored by the next leader.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -313,6 +313,9 @@
     auto recordUse(const fb::AdmissionT &message, AdmissionState &state) -> void;
     auto usesRecorded(TimePoint now, const std::map<CustomerId, std::vector<RequestId>> &uses)
         -> void;
+    /// Restores which requests broke their upstreams under former leaders.
+    auto restoreFailures(TimePoint now) -> void;
+    auto recordFailures() -> void;
     auto reserveBudget(const fb::AdmissionT &message) -> void;
     auto settleBudget(const ProgramKey &program, RequestId request, std::int64_t used) -> void;
     auto reserved(TimePoint now, const ReserveOutcome &outcome) -> void;
--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -141,6 +141,16 @@
     {
         return std::exchange(m_rejections, {});
     }
+    /// Restores the failures of a request that a former leader has counted.
+    auto restoreFailures(const RequestFailures &known, TimePoint lastFailureAt) -> void
+    {
+        m_poison.restore(known, lastFailureAt);
+    }
+    /// Returns the failures of requests that were counted since the last call.
+    [[nodiscard]] auto takeFailures() -> std::vector<RequestFailures>
+    {
+        return m_poison.takeChanges();
+    }
     /// Returns the requests whose slots were freed because their end was not reported.
     [[nodiscard]] auto takeOverdue() -> std::vector<RequestId>
     {
--- a/libs/fleet/include/heathergate/fleet/fleet_state.h
+++ b/libs/fleet/include/heathergate/fleet/fleet_state.h
@@ -132,6 +132,18 @@
     {
         return m_recordedRequests;
     }
+    /// A request whose responses were broken off, and the time of the last failure.
+    struct FailedRequest
+    {
+        int failures = 0;
+        GroupTime at{};
+    };
+    /// Returns the requests whose responses were broken off recently, by their fingerprints.
+    [[nodiscard]] auto failedRequests() const
+        -> const std::unordered_map<std::uint64_t, FailedRequest> &
+    {
+        return m_failedRequests;
+    }
     /// Time for which usage is retained; the maximum quota window that a new leader can restore.
     static constexpr GroupTime kUsageRetention = std::chrono::seconds(15);
     /// Returns which software versions began the recent streams.
@@ -159,6 +171,7 @@
     auto setUpstream(GroupTime now, const fb::UpstreamT &upstream) -> void;
     /// Notes which software versions the upstreams of a service have.
     auto updateServingVersions(GroupTime now, const ServiceId &service) -> void;
+    auto recordFailures(GroupTime now, const fb::RecordFailuresT &command) -> void;
     auto recordUsage(GroupTime now, const fb::CustomerUseT &used) -> void;
     auto removeExpired(GroupTime now) -> void;
 
@@ -170,6 +183,7 @@
     std::unordered_map<ProgramKey, ProgramBudget> m_budgets;
     std::unordered_map<CustomerId, std::deque<CustomerUse>> m_usage;
     std::deque<RecordedRequest> m_recordedRequests;
+    std::unordered_map<std::uint64_t, FailedRequest> m_failedRequests;
     StreamOrigins m_streams;
     std::set<InstanceId> m_retiring;
     GroupTime m_lastSweep{};
--- a/libs/fleet/include/heathergate/fleet/poison_register.h
+++ b/libs/fleet/include/heathergate/fleet/poison_register.h
@@ -3,9 +3,19 @@
 #include <heathergate/core/core.h>
 
 #include <unordered_map>
+#include <vector>
 
 namespace heathergate::fleet {
 
+/// How often the responses to a request were broken off since its last complete response.
+struct RequestFailures
+{
+    /// Identifies the request by its caller, path and body.
+    std::uint64_t fingerprint = 0;
+    /// 0 after a complete response.
+    int failures = 0;
+};
+
 /// Detects poison requests: requests that break every upstream that runs them, so that they are
 /// rejected after a few failures. Requests are identified by a fingerprint of caller, path and
 /// body.
@@ -16,8 +26,15 @@
     auto recordFailure(TimePoint now, std::uint64_t fingerprint) -> void;
     /// Records that a request received a complete response, which clears its failures.
     auto recordSuccess(std::uint64_t fingerprint) -> void;
+    /// Records the failures that a former leader has counted; the last one was at `lastFailureAt`.
+    auto restore(const RequestFailures &known, TimePoint lastFailureAt) -> void;
     /// Returns whether a request must not run again.
     [[nodiscard]] auto isPoison(TimePoint now, std::uint64_t fingerprint) const -> bool;
+    /// Returns the counts that have changed since the last call, for the replicated state.
+    [[nodiscard]] auto takeChanges() -> std::vector<RequestFailures>
+    {
+        return std::exchange(m_changes, {});
+    }
 
 private:
     struct Suspect
@@ -29,6 +46,7 @@
     auto removeExpired(TimePoint now) -> void;
 
     std::unordered_map<std::uint64_t, Suspect> m_suspects;
+    std::vector<RequestFailures> m_changes;
     TimePoint m_nextSweep{};
 };
 
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -357,6 +357,26 @@
     setUpstream(now, record, "draining", {});
 }
 
+auto ControlNode::restoreFailures(TimePoint now) -> void
+{
+    const auto groupNow = m_replica.groupTime(now);
+    for (const auto &[fingerprint, failed] : m_state.failedRequests()) {
+        const auto age = std::max(groupNow - failed.at, GroupTime::zero());
+        m_dispatcher.restoreFailures({fingerprint, failed.failures}, now - age);
+    }
+}
+
+auto ControlNode::recordFailures() -> void
+{
+    for (const auto &changed : m_dispatcher.takeFailures()) {
+        auto command = std::make_unique<fb::CommandT>();
+        command->failures = std::make_unique<fb::RecordFailuresT>();
+        command->failures->fingerprint = changed.fingerprint;
+        command->failures->failures = changed.failures;
+        propose(std::move(command), changed.failures > 0);
+    }
+}
+
 auto ControlNode::reserveBudget(const fb::AdmissionT &message) -> void
 {
     auto command = std::make_unique<fb::CommandT>();
@@ -435,6 +455,7 @@
 
 auto ControlNode::takeDispatcherOutput(TimePoint now) -> void
 {
+    recordFailures();
     for (const auto request : m_dispatcher.takeOverdue()) {
         m_metrics.count("heathergate_slots_overdue_total", {});
         m_log.add(now, LogImportance::Important, "admission", "slot_overdue",
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -210,8 +210,10 @@
     if (serves && !std::exchange(m_wasServing, serves)) {
         m_log.add(now, telemetry::LogImportance::Important, "control", "serving",
                   {{"term", m_replica.term()}, {"version", m_state.configuration().version()}});
-        if (!m_quotas)
+        if (!m_quotas) {
             restoreQuotas(now);
+            restoreFailures(now);
+        }
         updateReplicas(now);
         announceLeadership();
         m_nextPresence = now;
--- a/libs/fleet/src/fleet_state.cpp
+++ b/libs/fleet/src/fleet_state.cpp
@@ -12,6 +12,10 @@
 /// Time for which recorded requests are remembered, so that one which its gateway submits again to
 /// the next leader is not counted twice.
 constexpr std::chrono::microseconds kRecordedRequestRetention = std::chrono::seconds(5);
+/// Time after its last failure for which the failures of a request are retained.
+constexpr std::chrono::microseconds kFailureRetention = std::chrono::seconds(120);
+/// Maximum number of requests whose failures are retained.
+constexpr std::size_t kMaxFailedRequests = 16'384;
 /// Number of a caller's attempts at a stream, each as long as its route permits, for which the
 /// origin of the stream is remembered.
 constexpr int kStreamAttempts = 4;
@@ -77,6 +81,8 @@
         if (command->stream)
             m_streams.record(now, command->stream->stream, ServiceId(command->stream->service),
                              command->stream->softwareVersion);
+        if (command->failures)
+            recordFailures(now, *command->failures);
         if (command->retiring && command->retiring->retiring)
             m_retiring.insert(InstanceId(command->retiring->instance));
         else if (command->retiring)
@@ -88,6 +94,15 @@
     return applied;
 }
 
+auto FleetState::recordFailures(GroupTime now, const fb::RecordFailuresT &command) -> void
+{
+    if (command.failures == 0)
+        m_failedRequests.erase(command.fingerprint);
+    else if (m_failedRequests.size() < kMaxFailedRequests
+             || m_failedRequests.contains(command.fingerprint))
+        m_failedRequests[command.fingerprint] = {command.failures, now};
+}
+
 auto FleetState::recordUsage(GroupTime now, const fb::CustomerUseT &used) -> void
 {
     while (!m_recordedRequests.empty()
@@ -221,6 +236,8 @@
                   [&](const auto &item) { return now - item.second.usedAt > retention; });
     std::erase_if(m_usage,
                   [&](const auto &item) { return now - item.second.back().at > kUsageRetention; });
+    std::erase_if(m_failedRequests,
+                  [&](const auto &item) { return now - item.second.at > kFailureRetention; });
     std::erase_if(m_upstreams, [&](const auto &item) {
         return item.second.phase == UpstreamPhase::Removed
                && now - item.second.changedAt > kRemovedRetention;
@@ -263,6 +280,8 @@
         }
         table.usage.push_back(std::move(usage));
     }
+    for (const auto &[fingerprint, failed] : m_failedRequests)
+        table.failedRequests.emplace_back(fingerprint, failed.at.count(), failed.failures);
     for (const auto &recorded : m_recordedRequests)
         table.recordedRequests.emplace_back(recorded.request, recorded.at.count());
     table.streams = std::make_unique<fb::StreamOriginsT>(m_streams.snapshot());
@@ -302,6 +321,8 @@
         if (uses.empty())
             m_usage.erase(CustomerId(usage->customer));
     }
+    for (const auto &failed : table->failedRequests)
+        m_failedRequests[failed.fingerprint()] = {failed.failures(), GroupTime(failed.at())};
     for (const auto &recorded : table->recordedRequests)
         m_recordedRequests.push_back({recorded.request(), GroupTime(recorded.at())});
     if (table->streams)
--- a/libs/fleet/src/poison_register.cpp
+++ b/libs/fleet/src/poison_register.cpp
@@ -18,11 +18,18 @@
     auto &suspect = m_suspects[fingerprint];
     ++suspect.failures;
     suspect.lastFailureAt = now;
+    m_changes.push_back({fingerprint, suspect.failures});
 }
 
 auto PoisonRegister::recordSuccess(std::uint64_t fingerprint) -> void
 {
-    m_suspects.erase(fingerprint);
+    if (m_suspects.erase(fingerprint) > 0)
+        m_changes.push_back({fingerprint, 0});
+}
+
+auto PoisonRegister::restore(const RequestFailures &known, TimePoint lastFailureAt) -> void
+{
+    m_suspects[known.fingerprint] = {known.failures, lastFailureAt};
 }
 
 auto PoisonRegister::isPoison(TimePoint now, std::uint64_t fingerprint) const -> bool
--- a/libs/fleet/test/control_admission_test.cpp
+++ b/libs/fleet/test/control_admission_test.cpp
@@ -58,6 +58,64 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenARequestBreaksItsUpstreams)
+
+// Guards against a request that is retried after each change of the leader.
+BOOST_AUTO_TEST_CASE(isNotPlacedAgainUnderTheNextLeader)
+{
+    Fleet fleet;
+    auto leader = fleet.waitForLeader();
+    std::uint64_t sequence = 0;
+    RequestId last = 0;
+    const auto ask = [&] {
+        fleet.heartbeat(leader, upstream("u", 1, ++sequence));
+        fleet.run(50ms);
+        fleet.sentTo("g");
+        fb::AdmissionT admission;
+        admission.request = ++last;
+        admission.service = "tools";
+        admission.fingerprint = 77;
+        admission.budget = admission.finishIn = -1;
+        admission.timeLeft = admission.patience = 1'000'000;
+        fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(admission)));
+        fleet.run(20ms);
+        const auto answers = fleet.sentTo("g");
+        BOOST_TEST_REQUIRE(!answers.empty());
+        return std::holds_alternative<fb::GrantT>(answers.front());
+    };
+    const auto end = [&](AttemptOutcome outcome) {
+        fb::CompletionT completion;
+        completion.request = last;
+        completion.ending = static_cast<std::uint8_t>(outcome);
+        completion.final = true;
+        fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(completion)));
+        fleet.run(50ms);
+    };
+    const auto killLeader = [&] {
+        fleet.kill(leader);
+        leader = fleet.waitForLeader();
+    };
+    BOOST_TEST(ask());
+    end(AttemptOutcome::Broken);
+    BOOST_TEST(ask());
+    end(AttemptOutcome::Answered);
+    for (int failure = 0; failure < 2; ++failure) {
+        BOOST_TEST(ask());
+        end(AttemptOutcome::Broken);
+    }
+    killLeader();
+    BOOST_TEST(ask(), "two failures after a complete response are not enough");
+    end(AttemptOutcome::Broken);
+    BOOST_TEST(!ask());
+    fleet.restart("10.0.0.1");
+    fleet.restart("10.0.0.2");
+    fleet.restart("10.0.0.3");
+    leader = fleet.waitForLeader();
+    BOOST_TEST(!ask(), "the count outlives all processes");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenTheLeadersLeaseHasLapsed)
 
 // Guards against slots that stay taken after a short pause of the leader (review case 1).
