Start nothing on a grant that comes after the time to start

Further report: a gateway out of step (cut off, or standing still) lets a stream go on at another software version. What it did do: use a grant that had lain in its socket while it was suspended, after the caller's patience and possibly after the upstream was replaced.

Fix: a grant that comes after the latest time to start is given back, and the caller told that nothing ran.

Evidence: startsNothingOnAGrantThatComesTooLate, red without the check.

--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -187,6 +187,9 @@
         sendToLeader(Message(std::move(completion)));
         return;
     }
+    // It may have been granted while this gateway was suspended, so that the upstream has changed.
+    if (call->phase == Phase::Waiting && now >= call->startBy)
+        return deadlinePassed(now, *call);
     const UpstreamIncarnation granted{UpstreamId(message.upstream),
                                       std::chrono::milliseconds(message.born)};
     if (call->seeksReplacement) {
--- a/libs/fleet/test/gateway_test.cpp
+++ b/libs/fleet/test/gateway_test.cpp
@@ -404,6 +404,69 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(WhenTheGatewayIsOutOfStep, ConnectedFixture)
+
+namespace {
+
+auto resumedStream() -> CallerRequest
+{
+    CallerRequest item;
+    item.token = 500;
+    item.name = "again";
+    item.host = "h";
+    item.path = "/stream/x";
+    item.key = "key";
+    item.callerTimeout = 3s;
+    item.lastEvent = 4;
+    item.resumedAttempt = "begun-elsewhere";
+    return item;
+}
+
+} // namespace
+
+// Guards against a stream that goes on at an upstream of another version, chosen by a gateway that
+// cannot know which version began it.
+BOOST_AUTO_TEST_CASE(continuesNoStreamWithoutTheLeader)
+{
+    request("/stream/x");
+    const auto attempt = grant("u").attempt;
+    head(attempt);
+    m_gateway.attemptData(m_now, attempt, "id: 1\ndata: a\n\n");
+    m_gateway.peerLost(m_now, kLeader);
+    m_gateway.attemptEnd(m_now, attempt, {false, true, true});
+    m_gateway.request(m_now, resumedStream());
+    for (int i = 0; i < 40; ++i)
+        advance(100ms);
+    BOOST_TEST(take<StartAttempt>().empty());
+    const auto ended = take<EndResponse>();
+    BOOST_TEST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST(!ended[0].complete);
+    const auto refused = take<RefuseCaller>();
+    BOOST_TEST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST((refused[0].error.code == Code::NoQuorum));
+    BOOST_TEST((refused[0].error.ran == Ran::No));
+}
+
+// Guards against a grant from before a suspension, whose upstream may have been replaced since.
+BOOST_AUTO_TEST_CASE(startsNothingOnAGrantThatComesTooLate)
+{
+    m_gateway.request(m_now, resumedStream());
+    const auto admissions = take<fb::AdmissionT>();
+    BOOST_TEST_REQUIRE(admissions.size() == 1U);
+    BOOST_TEST(admissions[0].resumes);
+    m_now += 3200ms;
+    grantRequest(admissions[0].request, "u", 1);
+    BOOST_TEST(take<StartAttempt>().empty());
+    const auto refused = take<RefuseCaller>();
+    BOOST_TEST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST((refused[0].error.ran == Ran::No));
+    const auto completions = take<fb::CompletionT>();
+    BOOST_TEST_REQUIRE(completions.size() == 1U);
+    BOOST_TEST(completions[0].final);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(WhenAnUpstreamSendsBytesWithoutEnd, ConnectedFixture)
 
 BOOST_AUTO_TEST_CASE(anEventThatNeverEndsBreaksTheAttemptOff)
