--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -269,6 +269,12 @@
 
     // Members of the consensus group.
     auto maintainGroup(TimePoint now) -> void;
+    auto reportGroupSize(TimePoint now) -> void;
+    /// Returns the number of voters of which the fault tolerance leaves a majority.
+    [[nodiscard]] auto requiredVoters() const -> std::size_t
+    {
+        return 2 * static_cast<std::size_t>(m_settings.faultTolerance) + 1;
+    }
     [[nodiscard]] auto isServing(TimePoint now, const consensus::ReplicaId &replica) const -> bool;
     [[nodiscard]] auto isSuperseded(const consensus::ReplicaId &replica) const -> bool;
     /// Returns whether the instance of a replica has announced that it stops.
@@ -405,6 +411,8 @@
     /// The consensus group as of the last committed change.
     consensus::Configuration m_committedGroup;
     bool m_groupChanged = false;
+    /// The group had fewer voters than required when its size was last reported.
+    bool m_groupIsTooSmall = false;
     history::ReplicaSet m_replicas;
     HistoryProgress m_historyProgress;
 
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -143,13 +143,12 @@
     if (member == m_members.end()
         || member->second.presence.role != static_cast<std::uint8_t>(Role::Control))
         return true;
-    const auto requiredVoters = 2 * m_settings.faultTolerance + 1;
     const auto others = std::count_if(m_members.begin(), m_members.end(), [&](const auto &item) {
         const consensus::ReplicaId replica(item.second.presence.replica);
         return item.first != instance && !replica.empty() && isServing(now, replica)
                && !m_state.retiring().contains(item.first);
     });
-    return others >= requiredVoters;
+    return static_cast<std::size_t>(others) >= requiredVoters();
 }
 
 auto ControlNode::startRetiring(TimePoint now, CallToken token, const std::string &name) -> void
@@ -172,6 +171,11 @@
     if (!mayRetire(now, *instance)) {
         answer.status = CallStatus::Conflict;
         answer.detail = "too few instances would remain";
+        m_log.add(now, LogImportance::Important, "operator", "retire_refused",
+                  {{"instance", instance->value},
+                   {"name", name},
+                   {"required", requiredVoters()},
+                   {"detail", answer.detail}});
         m_output.answers.push_back(std::move(answer));
         return;
     }
--- a/libs/fleet/src/control_members.cpp
+++ b/libs/fleet/src/control_members.cpp
@@ -373,10 +373,35 @@
     return result.has_value();
 }
 
+/// Reports whether the group has the voters that the fault tolerance needs, each time this changes.
+/// A smaller group serves, but the loss of fewer disks, or a partition, stops it.
+auto ControlNode::reportGroupSize(TimePoint now) -> void
+{
+    const auto &voters = m_replica.configuration().voters;
+    const auto serving = static_cast<std::size_t>(std::count_if(
+        voters.begin(), voters.end(), [&](const auto &voter) { return isServing(now, voter); }));
+    m_metrics.set("heathergate_group_voters", {}, static_cast<double>(voters.size()));
+    m_metrics.set("heathergate_group_voters_serving", {}, static_cast<double>(serving));
+    m_metrics.set("heathergate_group_voters_required", {}, static_cast<double>(requiredVoters()));
+    // A new leader has not heard from all instances yet.
+    if (now - m_leaderSince < kMemberTimeout)
+        return;
+    const auto isTooSmall = voters.size() < requiredVoters();
+    if (std::exchange(m_groupIsTooSmall, isTooSmall) == isTooSmall)
+        return;
+    m_log.add(now, LogImportance::Important, "group", isTooSmall ? "too_small" : "large_enough",
+              {{"voters", voters.size()},
+               {"serving", serving},
+               {"required", requiredVoters()},
+               {"fault_tolerance", m_settings.faultTolerance},
+               {"term", m_replica.term()}});
+}
+
 /// Makes at most one change of the group's members. A voter is replaced only by a learner that has
 /// caught up, and is removed only when the other serving voters form a majority without it.
 auto ControlNode::maintainGroup(TimePoint now) -> void
 {
+    reportGroupSize(now);
     const auto group = m_replica.configuration();
     if (!group.learners.empty())
         m_nextMaintenance = now + kGroupStepInterval;
@@ -390,15 +415,14 @@
             return;
         }
     }
-    const auto requiredVoters = 2 * static_cast<std::size_t>(m_settings.faultTolerance) + 1;
     const auto leaving = std::find_if(group.voters.begin(), group.voters.end(),
                                       [&](const auto &voter) { return shouldLeave(now, voter); });
-    if (group.voters.size() > requiredVoters) {
+    if (group.voters.size() > requiredVoters()) {
         if (leaving != group.voters.end())
             removeVoter(now, *leaving);
         return;
     }
-    if (group.voters.size() == requiredVoters && leaving == group.voters.end())
+    if (group.voters.size() == requiredVoters() && leaving == group.voters.end())
         return;
     if (const auto next = candidate(now)) {
         m_nextMaintenance = now + kGroupStepInterval;
--- a/libs/fleet/test/control_members_test.cpp
+++ b/libs/fleet/test/control_members_test.cpp
@@ -81,6 +81,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenTheGroupIsTooSmall)
+
+namespace {
+
+auto hasMetric(Fleet &fleet, const std::string &line) -> bool
+{
+    return fleet.node(fleet.leader()).metrics().render().find(line + "\n") != std::string::npos;
+}
+
+} // namespace
+
+// Guards against an even group, of which a partition into halves leaves no majority, that nobody
+// notices: four instances ran where a tolerance of two disks needs five voters.
+BOOST_AUTO_TEST_CASE(reportsThatVotersAreMissingAndAddsTheNextInstance)
+{
+    Fleet fleet(4);
+    fleet.waitForLeader();
+    fleet.run(4s);
+    BOOST_TEST(hasMetric(fleet, "heathergate_group_voters_required 5"));
+    BOOST_TEST(hasMetric(fleet, "heathergate_group_voters 4"));
+    fleet.startSpare("10.0.0.7");
+    fleet.run(6s);
+    BOOST_TEST(hasMetric(fleet, "heathergate_group_voters 5"));
+    BOOST_TEST(hasMetric(fleet, "heathergate_group_voters_serving 5"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAGatewayIsLost)
 
 namespace {
