Evacuate a failure domain by an operator's order

The leader excludes the upstreams of evacuated domains from every placement and from the slots that estimates count, rejects queued requests that only they can serve, and acknowledges an order once it is committed. Unknown domains are refused with their reason; `[fleet] failure_domains` lists the known ones.

Ruled out: a part of the configuration, and a mark on each upstream (docs/design/evacuation.md).

--- a/apps/heathergate/commands.h
+++ b/apps/heathergate/commands.h
@@ -12,6 +12,7 @@
 [[nodiscard]] auto runServe(const Arguments &arguments) -> int;
 [[nodiscard]] auto runJoin(const Arguments &arguments) -> int;
 [[nodiscard]] auto runExplain(const Arguments &arguments) -> int;
+[[nodiscard]] auto runEvacuation(const Arguments &arguments) -> int;
 [[nodiscard]] auto runInit(const Arguments &arguments) -> int;
 [[nodiscard]] auto runCheck(const Arguments &arguments) -> int;
 [[nodiscard]] auto runTable(const Arguments &arguments) -> int;
--- a/apps/heathergate/main.cpp
+++ b/apps/heathergate/main.cpp
@@ -21,6 +21,7 @@
         {"serve", {&runServe, "runs an instance"}},
         {"join", {&runJoin, "runs an instance of a fleet whose leader places requests"}},
         {"explain", {&runExplain, "explains the log lines of a request or program"}},
+        {"evacuation", {&runEvacuation, "evacuates a failure domain, or ends its evacuation"}},
         {"init", {&runInit, "prepares the data folder of a disk instance of a new fleet"}},
         {"check", {&runCheck, "checks a settings file"}},
         {"table", {&runTable, "reads and edits the table of weights and limits"}},
--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -26,6 +26,8 @@
     /// Name under which operators address the instance.
     std::string name;
     FailureDomainId domain;
+    /// All failure domains of the deployment; empty if they are not known in advance.
+    std::set<FailureDomainId> failureDomains;
     /// Address at which upstreams and operators reach the instance.
     std::string controlAddress;
     /// Identifies this run of the process.
@@ -36,6 +38,7 @@
     int faultTolerance = 1;
     /// Sliding window over which a customer's requests are counted.
     Duration quotaWindow = std::chrono::seconds(5);
+    PlacementSettings placement;
     /// Log entries after which the state is stored as a snapshot.
     consensus::Index compactAfter = 2000;
     /// Bytes of log entries after which the state is stored as a snapshot.
@@ -149,6 +152,10 @@
     /// Begins to retire the instance that operators know by `name`.
     auto startRetiring(TimePoint now, CallToken token, const std::string &name) -> void;
     auto readRetiring(TimePoint now, CallToken token, const std::string &name) -> void;
+    /// Evacuates a failure domain, so that its upstreams receive no requests, or ends that. A
+    /// repeated call is acknowledged again and changes nothing.
+    auto setEvacuation(TimePoint now, CallToken token, const FailureDomainId &domain,
+                       bool isEvacuated) -> void;
     auto upstreamHeartbeat(TimePoint now, CallToken token, const UpstreamReport &report) -> void;
     auto upstreamLeft(TimePoint now, CallToken token, const UpstreamId &id) -> void;
 
@@ -345,6 +352,7 @@
     auto setUpstream(TimePoint now, const UpstreamRecord &record, std::string_view why,
                      CommitHandler handler) -> void;
     [[nodiscard]] auto findMember(const std::string &name) const -> std::optional<InstanceId>;
+    [[nodiscard]] auto isKnownDomain(const FailureDomainId &domain) const -> bool;
     [[nodiscard]] auto mayRetire(TimePoint now, const InstanceId &instance) const -> bool;
 
     ControlSettings m_settings;
--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <heathergate/fleet/drain_rate.h>
 #include <heathergate/fleet/fleet_state.h>
+#include <heathergate/fleet/placement_settings.h>
 #include <heathergate/fleet/poison_register.h>
 #include <heathergate/fleet/stated_rate.h>
 #include <heathergate/routing/health.h>
@@ -98,6 +99,11 @@
 class Dispatcher
 {
 public:
+    explicit Dispatcher(PlacementSettings settings = {})
+        : m_settings(settings)
+    {
+    }
+
     /// Replaces the set of upstreams and the configuration of their services.
     auto setUpstreams(TimePoint now, const std::map<UpstreamId, UpstreamRecord> &records,
                       const ActiveConfiguration &configuration) -> void;
@@ -120,6 +126,14 @@
     /// Returns whether an upstream has been retired.
     [[nodiscard]] auto isRetired(const UpstreamId &id) const -> bool;
 
+    /// Places no requests at upstreams of these failure domains, and rejects the queued requests
+    /// that only such upstreams can serve. Requests that run there are not affected.
+    auto setEvacuated(TimePoint now, const std::set<FailureDomainId> &domains) -> void;
+    [[nodiscard]] auto evacuated() const -> const std::set<FailureDomainId> &
+    {
+        return m_evacuated;
+    }
+
     /// Submits a request; a placement or a rejection follows. A request that is already placed has
     /// its placement returned again.
     auto submit(TimePoint now, Work work) -> void;
@@ -234,6 +248,12 @@
         -> double;
     [[nodiscard]] auto placementOf(const WorkState &state, const Upstream &upstream,
                                    Duration waited) const -> Placement;
+    /// Returns whether an upstream may receive requests: it has not stated that it is about to end,
+    /// and its failure domain is not evacuated.
+    [[nodiscard]] auto isInService(const Upstream &upstream) const -> bool
+    {
+        return !upstream.isRetired && !m_evacuated.contains(upstream.record.domain);
+    }
     [[nodiscard]] auto isReachable(TimePoint now, const Upstream &upstream) const -> bool;
     /// Returns whether connections to an upstream succeed, as far as is known.
     [[nodiscard]] static auto acceptsConnections(TimePoint now, const Upstream &upstream) -> bool;
@@ -250,8 +270,8 @@
     auto permitAvoidedIfNoOtherIsCompatible(Work &work) const -> void;
     /// Returns the upstream at which the request has to resume, if it is still the same.
     [[nodiscard]] auto pinnedUpstream(const Work &work) const -> const Upstream *;
-    /// Returns whether the request may only resume at an upstream that has been leaving for so long
-    /// that it gets no request any more.
+    /// Returns whether the request may only resume at an upstream that gets no request any more:
+    /// its failure domain is evacuated, or it has been leaving for too long.
     [[nodiscard]] auto mustNotReturn(TimePoint now, const Work &work) const -> bool;
     [[nodiscard]] static auto queueKeyOf(TimePoint now, const Work &work) -> QueueKey;
     [[nodiscard]] auto hasFreeSlot(TimePoint now, const ServiceState &service) const -> bool;
@@ -275,7 +295,9 @@
     auto updateEstimates(TimePoint now, Upstream &upstream, const WorkState &state,
                          const AttemptReport &report) -> void;
 
+    PlacementSettings m_settings;
     std::map<UpstreamId, Upstream> m_upstreams;
+    std::set<FailureDomainId> m_evacuated;
     std::unordered_map<ServiceId, ServiceState> m_services;
     std::unordered_map<RequestId, WorkState> m_work;
     /// Times at which the queued requests have to be rejected.
--- a/libs/fleet/include/heathergate/fleet/fleet_state.h
+++ b/libs/fleet/include/heathergate/fleet/fleet_state.h
@@ -79,7 +79,7 @@
 
 /// The replicated state of every control instance, changed only by committed commands: the active
 /// configuration, the upstreams, the budgets of programs, the recent use of customers' limits, the
-/// origins of streams, and the instances that are being retired.
+/// origins of streams, the instances that are being retired, and the evacuated failure domains.
 class FleetState
 {
 public:
@@ -155,6 +155,11 @@
     {
         return m_retiring;
     }
+    /// Returns the failure domains whose upstreams receive no requests.
+    [[nodiscard]] auto evacuated() const -> const std::set<FailureDomainId> &
+    {
+        return m_evacuated;
+    }
 
     /// Returns the complete state in serialized form.
     [[nodiscard]] auto snapshot() const -> std::string;
@@ -186,6 +191,7 @@
     std::unordered_map<std::uint64_t, FailedRequest> m_failedRequests;
     StreamOrigins m_streams;
     std::set<InstanceId> m_retiring;
+    std::set<FailureDomainId> m_evacuated;
     GroupTime m_lastSweep{};
     std::chrono::microseconds m_retention{};
 };
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -188,6 +188,60 @@
     propose(std::move(command), true, commitAnswer(token));
 }
 
+auto ControlNode::isKnownDomain(const FailureDomainId &domain) const -> bool
+{
+    const auto &upstreams = m_state.upstreams();
+    return domain == m_settings.domain || m_settings.failureDomains.contains(domain)
+           || m_state.evacuated().contains(domain)
+           || std::any_of(upstreams.begin(), upstreams.end(),
+                          [&](const auto &item) { return item.second.domain == domain; })
+           || std::any_of(m_members.begin(), m_members.end(), [&](const auto &item) {
+                  return item.second.presence.domain == domain.value;
+              });
+}
+
+auto ControlNode::setEvacuation(TimePoint now, CallToken token, const FailureDomainId &domain,
+                                bool isEvacuated) -> void
+{
+    const std::string_view call = isEvacuated ? "evacuate" : "end_evacuation";
+    if (!isLeader(now))
+        return answerNotLeader(now, token, call);
+    CallAnswer answer;
+    answer.token = token;
+    if (!isKnownDomain(domain)) {
+        answer.status = now - m_leaderSince < kMemberDiscoveryTime ? CallStatus::Unavailable
+                                                                   : CallStatus::NotFound;
+        answer.detail = "no instance or upstream is in the failure domain " + domain.value;
+        m_log.add(now, LogImportance::Important, "operator", "evacuation_refused",
+                  {{"call", call},
+                   {"domain", domain.value},
+                   {"detail", answer.detail},
+                   {"term", m_replica.term()}});
+        m_output.answers.push_back(std::move(answer));
+        return;
+    }
+    const auto isInForce = m_state.evacuated().contains(domain) == isEvacuated;
+    m_log.add(now, LogImportance::Important, "operator", "evacuation_received",
+              {{"call", call},
+               {"domain", domain.value},
+               {"in_force", isInForce ? 1 : 0},
+               {"evacuated_domains", m_state.evacuated().size()},
+               {"term", m_replica.term()}});
+    // An order that is in force is recorded again: an opposite one may be on its way to the log.
+    auto command = std::make_unique<fb::CommandT>();
+    command->evacuation = std::make_unique<fb::SetEvacuationT>();
+    command->evacuation->domain = domain.value;
+    command->evacuation->evacuated = isEvacuated;
+    propose(std::move(command), true, [this, token, call, domain](TimePoint at, bool committed) {
+        m_log.add(at, LogImportance::Important, "operator", "evacuation_recorded",
+                  {{"call", call},
+                   {"domain", domain.value},
+                   {"committed", committed ? 1 : 0},
+                   {"term", m_replica.term()}});
+        commitAnswer(token)(at, committed);
+    });
+}
+
 auto ControlNode::readRetiring(TimePoint now, CallToken token, const std::string &name) -> void
 {
     if (!isLeader(now))
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -225,6 +225,11 @@
 
 auto ControlNode::refreshUpstreams(TimePoint now) -> void
 {
+    if (m_state.evacuated() != m_dispatcher.evacuated()) {
+        m_dispatcher.setEvacuated(now, m_state.evacuated());
+        m_metrics.set("heathergate_evacuated_domains", {},
+                      static_cast<double>(m_state.evacuated().size()));
+    }
     if (std::exchange(m_appliedUpstreamChanges, m_state.upstreamChanges())
         != m_state.upstreamChanges())
         m_dispatcher.setUpstreams(now, m_state.upstreams(), m_state.configuration());
@@ -296,7 +301,8 @@
     for (const auto &handler : handlers)
         handler(now, false);
     // Gateways resubmit their open requests to the new leader.
-    m_dispatcher = Dispatcher();
+    m_dispatcher = Dispatcher(m_settings.placement);
+    m_dispatcher.setEvacuated(now, m_state.evacuated());
     m_dispatcher.setUpstreams(now, m_state.upstreams(), m_state.configuration());
     m_admissions.clear();
     m_delayed.clear();
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -49,15 +49,18 @@
     const auto &service = m_services[id];
     const auto isEmpty =
         std::all_of(service.upstreams.begin(), service.upstreams.end(),
-                    [&](const auto &upstream) { return m_upstreams.at(upstream).isRetired; });
+                    [&](const auto &upstream) { return !isInService(m_upstreams.at(upstream)); });
     std::vector<RequestId> unservable;
     for (const auto &key : service.queue) {
-        if (isEmpty || !hasCompatibleUpstream(m_work.at(key.request).work))
+        const auto &work = m_work.at(key.request).work;
+        if (isEmpty || mustNotReturn(now, work) || !hasCompatibleUpstream(work))
             unservable.push_back(key.request);
     }
     for (const auto request : unservable) {
-        removeFromQueue(now, m_work.at(request), false);
-        if (isEmpty)
+        const auto &state = m_work.at(request);
+        const auto isReturning = mustNotReturn(now, state.work);
+        removeFromQueue(now, state, false);
+        if (isEmpty || isReturning)
             reject(now, request, RejectReason::NoUpstream, kNoUpstreamRetryAfter);
         else
             reject(now, request, RejectReason::StreamVersionGone, Duration::zero());
--- a/libs/fleet/src/dispatcher_upstreams.cpp
+++ b/libs/fleet/src/dispatcher_upstreams.cpp
@@ -121,6 +121,15 @@
     return true;
 }
 
+auto Dispatcher::setEvacuated(TimePoint now, const std::set<FailureDomainId> &domains) -> void
+{
+    m_evacuated = domains;
+    for (auto &[id, service] : m_services) {
+        rejectUnservable(now, id);
+        fillFreeSlots(now, id);
+    }
+}
+
 auto Dispatcher::isRetired(const UpstreamId &id) const -> bool
 {
     const auto found = m_upstreams.find(id);
@@ -195,7 +204,7 @@
 
 auto Dispatcher::isReachable(TimePoint now, const Upstream &upstream) const -> bool
 {
-    if (upstream.isRetired || !acceptsConnections(now, upstream))
+    if (!isInService(upstream) || !acceptsConnections(now, upstream))
         return false;
     return upstream.health.isAvailable(now)
            || (!upstream.health.isSilent() && needsEjected(now, upstream.record.service));
@@ -206,14 +215,18 @@
     const auto service = m_services.find(id);
     if (service == m_services.end())
         return false;
-    const auto &upstreams = service->second.upstreams;
-    const auto healthy =
-        std::count_if(upstreams.begin(), upstreams.end(), [&](const UpstreamId &other) {
-            const auto &upstream = m_upstreams.at(other);
-            return !upstream.isRetired && acceptsConnections(now, upstream)
-                   && upstream.health.isAvailable(now);
-        });
-    return 2 * static_cast<std::size_t>(healthy) < upstreams.size();
+    std::size_t candidates = 0;
+    std::size_t healthy = 0;
+    for (const auto &other : service->second.upstreams) {
+        const auto &upstream = m_upstreams.at(other);
+        if (m_evacuated.contains(upstream.record.domain))
+            continue;
+        ++candidates;
+        if (isInService(upstream) && acceptsConnections(now, upstream)
+            && upstream.health.isAvailable(now))
+            ++healthy;
+    }
+    return 2 * healthy < candidates;
 }
 
 auto Dispatcher::isCompatible(const Upstream &upstream, const Work &work) -> bool
@@ -239,7 +252,7 @@
     return std::any_of(service->second.upstreams.begin(), service->second.upstreams.end(),
                        [&](const UpstreamId &id) {
                            const auto &upstream = m_upstreams.at(id);
-                           return !upstream.isRetired && isCompatible(upstream, work);
+                           return isInService(upstream) && isCompatible(upstream, work);
                        });
 }
 
@@ -250,7 +263,7 @@
         return;
     const auto isOther = [&](const UpstreamId &id) {
         const auto &upstream = m_upstreams.at(id);
-        return !upstream.isRetired && isCompatible(upstream, work)
+        return isInService(upstream) && isCompatible(upstream, work)
                && std::find(work.avoid.begin(), work.avoid.end(), id) == work.avoid.end();
     };
     const auto &upstreams = service->second.upstreams;
@@ -272,8 +285,10 @@
 auto Dispatcher::mustNotReturn(TimePoint now, const Work &work) const -> bool
 {
     const auto *pinned = pinnedUpstream(work);
-    return pinned != nullptr && pinned->leavingSince
-           && now - *pinned->leavingSince > kReturnToLeavingTime;
+    if (pinned == nullptr)
+        return false;
+    const auto hasLeft = pinned->leavingSince && now - *pinned->leavingSince > kReturnToLeavingTime;
+    return hasLeft || m_evacuated.contains(pinned->record.domain);
 }
 
 auto Dispatcher::hasReachableUpstream(TimePoint now, const Work &work) const -> bool
@@ -299,7 +314,7 @@
 
 auto Dispatcher::usableSlots(const Upstream &upstream, const ServiceState &service) const -> double
 {
-    if (upstream.isRetired)
+    if (!isInService(upstream))
         return 0;
     const auto slots = static_cast<double>(std::max(upstream.record.slots, 1));
     const auto rate = upstream.rate.perSecond();
--- a/libs/fleet/src/fleet_state.cpp
+++ b/libs/fleet/src/fleet_state.cpp
@@ -83,6 +83,10 @@
                              command->stream->softwareVersion);
         if (command->failures)
             recordFailures(now, *command->failures);
+        if (command->evacuation && command->evacuation->evacuated)
+            m_evacuated.insert(FailureDomainId(command->evacuation->domain));
+        else if (command->evacuation)
+            m_evacuated.erase(FailureDomainId(command->evacuation->domain));
         if (command->retiring && command->retiring->retiring)
             m_retiring.insert(InstanceId(command->retiring->instance));
         else if (command->retiring)
@@ -271,6 +275,8 @@
     }
     for (const auto &instance : m_retiring)
         table.retiring.push_back(instance.value);
+    for (const auto &domain : m_evacuated)
+        table.evacuated.push_back(domain.value);
     for (const auto &[customer, uses] : m_usage) {
         auto usage = std::make_unique<fb::CustomerUsageT>();
         usage->customer = customer.value;
@@ -314,6 +320,8 @@
     }
     for (const auto &instance : table->retiring)
         m_retiring.insert(InstanceId(instance));
+    for (const auto &domain : table->evacuated)
+        m_evacuated.insert(FailureDomainId(domain));
     for (const auto &usage : table->usage) {
         auto &uses = m_usage[CustomerId(usage->customer)];
         for (std::size_t i = 0; i < usage->at.size() && i < usage->count.size(); ++i)
--- a/libs/node/include/heathergate/node/control_program.h
+++ b/libs/node/include/heathergate/node/control_program.h
@@ -155,6 +155,7 @@
         result.genesis = identity.genesis;
         result.name = settings.name;
         result.domain = settings.domain;
+        result.failureDomains = {settings.failureDomains.begin(), settings.failureDomains.end()};
         result.controlAddress = settings.control->text();
         result.boot = randomNumber() | 1U;
         result.consensus.heartbeatInterval = kHeartbeatInterval;
@@ -165,6 +166,7 @@
         result.seeds = m_process.seeds();
         result.faultTolerance = settings.faultTolerance;
         result.quotaWindow = settings.quotaWindow;
+        result.placement = settings.placement;
         return result;
     }
 
--- a/libs/node/include/heathergate/node/node_settings.h
+++ b/libs/node/include/heathergate/node/node_settings.h
@@ -2,6 +2,7 @@
 
 #include <heathergate/core/core.h>
 #include <heathergate/fleet/messages.h>
+#include <heathergate/fleet/placement_settings.h>
 
 #include <optional>
 #include <string>
@@ -40,12 +41,17 @@
     std::vector<Endpoint> seeds;
     /// Whether the fleet starts for the first time, with empty disks.
     bool bootstrap = false;
+    /// All failure domains of the deployment; empty if they are not known in advance.
+    std::vector<FailureDomainId> failureDomains;
     /// Number of instances with a disk that may fail at the same time.
     int faultTolerance = 1;
 
     // [storage]
     std::string folder;
 
+    // [placement]
+    fleet::PlacementSettings placement;
+
     // [limits]
     Duration quotaWindow = std::chrono::seconds(5);
     /// Time between SIGTERM and SIGKILL.
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -30,6 +30,7 @@
         readListen();
         readFleet();
         readStorage();
+        readPlacement();
         readLimits();
         checkRoleRequirements();
         for (const auto &[key, node] : m_root) {
@@ -116,6 +117,7 @@
                           [](bool) { return true; });
         reader.readNumber("fault_tolerance", m_settings.faultTolerance, 0, 10);
         readSeeds(reader);
+        readFailureDomains(reader);
         reader.require("secret", !m_settings.secrets.empty());
         reader.require("seeds", !m_settings.seeds.empty());
         recordError(reader.finish());
@@ -139,6 +141,23 @@
         }
     }
 
+    auto readFailureDomains(TableReader &reader) -> void
+    {
+        reader.addKnown("failure_domains");
+        const auto *fleetTable = m_root.get("fleet");
+        const auto *list = fleetTable == nullptr || !fleetTable->is_table()
+                               ? nullptr
+                               : fleetTable->as_table()->get_as<toml::array>("failure_domains");
+        if (list == nullptr)
+            return;
+        for (const auto &item : *list) {
+            const auto name = item.value<std::string>();
+            if (!name || !TableReader::isName(*name))
+                return recordError(m_file + ": [fleet] failure_domains must hold names");
+            m_settings.failureDomains.emplace_back(*name);
+        }
+    }
+
     auto readStorage() -> void
     {
         auto reader = table("storage");
@@ -147,6 +166,18 @@
         recordError(reader.finish());
     }
 
+    auto readPlacement() -> void
+    {
+        constexpr std::int64_t kMaxConnectionCostMs = 1000;
+        auto reader = table("placement");
+        auto &placement = m_settings.placement;
+        const auto isAny = [](bool) { return true; };
+        reader.read<bool>("measured_pace", placement.measuredPace, "true or false", isAny);
+        reader.readTime<std::chrono::milliseconds>("connection_cost_ms", placement.connectionCost,
+                                                   0, kMaxConnectionCostMs);
+        recordError(reader.finish());
+    }
+
     auto readLimits() -> void
     {
         using std::chrono::milliseconds;
