--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -26,8 +26,6 @@
     /// Name under which operators address the instance.
     std::string name;
     FailureDomainId domain;
-    /// All failure domains of the deployment; empty if they are not known in advance.
-    std::set<FailureDomainId> failureDomains;
     /// Address at which upstreams and operators reach the instance.
     std::string controlAddress;
     /// Identifies this run of the process.
--- a/libs/node/include/heathergate/node/control_program.h
+++ b/libs/node/include/heathergate/node/control_program.h
@@ -155,7 +155,6 @@
         result.genesis = identity.genesis;
         result.name = settings.name;
         result.domain = settings.domain;
-        result.failureDomains = {settings.failureDomains.begin(), settings.failureDomains.end()};
         result.controlAddress = settings.control->text();
         result.boot = randomNumber() | 1U;
         result.consensus.heartbeatInterval = kHeartbeatInterval;
--- a/libs/node/include/heathergate/node/node_settings.h
+++ b/libs/node/include/heathergate/node/node_settings.h
@@ -41,8 +41,6 @@
     std::vector<Endpoint> seeds;
     /// Whether the fleet starts for the first time, with empty disks.
     bool bootstrap = false;
-    /// All failure domains of the deployment; empty if they are not known in advance.
-    std::vector<FailureDomainId> failureDomains;
     /// Number of instances with a disk that may fail at the same time.
     int faultTolerance = 1;
 
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -117,7 +117,6 @@
                           [](bool) { return true; });
         reader.readNumber("fault_tolerance", m_settings.faultTolerance, 0, 10);
         readSeeds(reader);
-        readFailureDomains(reader);
         reader.require("secret", !m_settings.secrets.empty());
         reader.require("seeds", !m_settings.seeds.empty());
         recordError(reader.finish());
@@ -141,23 +140,6 @@
         }
     }
 
-    auto readFailureDomains(TableReader &reader) -> void
-    {
-        reader.addKnown("failure_domains");
-        const auto *fleetTable = m_root.get("fleet");
-        const auto *list = fleetTable == nullptr || !fleetTable->is_table()
-                               ? nullptr
-                               : fleetTable->as_table()->get_as<toml::array>("failure_domains");
-        if (list == nullptr)
-            return;
-        for (const auto &item : *list) {
-            const auto name = item.value<std::string>();
-            if (!name || !TableReader::isName(*name))
-                return recordError(m_file + ": [fleet] failure_domains must hold names");
-            m_settings.failureDomains.emplace_back(*name);
-        }
-    }
-
     auto readStorage() -> void
     {
         auto reader = table("storage");
