Bound what a process buffers for its clients, together

Cause: each connection had limits of its own, and nothing bounded their sum: 64 bodies of 1 MiB that stop short held 82 MiB at a gateway, complete ones 215 MiB (each body existed three times, and freed blocks stayed with the allocator), unread responses up to 8 MiB each, operators' bodies 194 MiB at a control instance. Clients' connections could take all descriptors of the event loop.

Change: BufferBudget, one for each process. The connection without progress for longest gives way, never one whose request was handed over; complete requests that do not fit are refused with 503 and Retry-After before they run. Clients' connections use at most 60 % of the descriptors. A response that its caller does not read is held back at its upstream.

Ruled out: limits for each connection, no longer reading, files (docs/design/client-buffers.md).

--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -200,6 +200,9 @@
     auto callerDisconnected(TimePoint now, CallerToken token) -> void;
     auto attemptHead(TimePoint now, AttemptId attempt, const AttemptHead &head) -> void;
     auto attemptData(TimePoint now, AttemptId attempt, std::string_view bytes) -> void;
+    /// Reports that the response is not read, because the caller does not read fast enough, so that
+    /// the upstream does not count as silent.
+    auto attemptHeld(TimePoint now, AttemptId attempt) -> void;
     auto attemptEnd(TimePoint now, AttemptId attempt, const AttemptEnd &end) -> void;
     auto receive(TimePoint now, const InstanceId &from, PeerFrame frame) -> void;
     /// Reports that the connection to an instance is closed; the last messages to it may be lost.
--- a/libs/fleet/src/gateway_attempts.cpp
+++ b/libs/fleet/src/gateway_attempts.cpp
@@ -257,6 +257,12 @@
     return true;
 }
 
+auto Gateway::attemptHeld(TimePoint now, AttemptId attempt) -> void
+{
+    if (auto *call = byAttempt(attempt))
+        call->lastByteAt = now;
+}
+
 auto Gateway::attemptEnd(TimePoint now, AttemptId attempt, const AttemptEnd &end) -> void
 {
     auto *call = byAttempt(attempt);
--- a/libs/net/include/heathergate/net/event_loop.h
+++ b/libs/net/include/heathergate/net/event_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <heathergate/core/core.h>
+#include <heathergate/net/buffer_budget.h>
 
 #include <ace/Reactor.h>
 #include <atomic>
@@ -54,6 +55,11 @@
     {
         return m_maxHandles;
     }
+    /// Returns the budget of what is buffered for the clients of this loop's servers.
+    [[nodiscard]] auto budget() -> BufferBudget &
+    {
+        return m_budget;
+    }
     /// Records that a connection was closed because the process has too many handles.
     auto countRefusedHandle() -> void
     {
@@ -97,6 +103,8 @@
     auto runDeferred() -> void;
 
     BootClock m_clock;
+    /// Declared first, so that it outlives what is charged to it.
+    BufferBudget m_budget;
     TimePoint m_now{};
     bool m_isWaiting = false;
     int m_maxHandles;
--- a/libs/net/include/heathergate/net/http_client.h
+++ b/libs/net/include/heathergate/net/http_client.h
@@ -62,6 +62,8 @@
     /// Cancels a request and closes its connection; its handlers are not called any more. Returns
     /// whether any byte may have reached the server.
     auto cancel(OutgoingId id) -> bool;
+    /// Stops or resumes reading the response to a request.
+    auto setReading(OutgoingId id, bool reading) -> void;
     /// Closes the idle connections to a server.
     auto closeIdle(const Endpoint &server) -> void;
 
--- a/libs/net/include/heathergate/net/http_server.h
+++ b/libs/net/include/heathergate/net/http_server.h
@@ -12,6 +12,9 @@
 {
     HttpHead head;
     std::string body;
+    /// Charge of a long body, and of the copy of it that is sent to an upstream. Whoever keeps the
+    /// body keeps the charge.
+    std::shared_ptr<BufferCharge> charge;
 };
 
 /// A complete response. The server adds the Content-Length and Connection headers.
@@ -37,7 +40,10 @@
 using ExchangeId = std::uint64_t;
 
 /// An HTTP/1.1 server on the event loop. Each connection processes one request at a time;
-/// pipelined requests wait in the connection's buffer.
+/// pipelined requests wait in the connection's buffer, also while the client does not read the
+/// responses. What is buffered is charged to the loop's budget: connections without a request that
+/// was handed over give way if it is exceeded. A request that gives way is refused with 503 and has
+/// not run.
 class HttpServer
 {
 public:
@@ -46,6 +52,8 @@
         std::function<void(ExchangeId, HttpRequest)> onRequest;
         /// The client disconnected before its response was complete.
         std::function<void(ExchangeId)> onDisconnect;
+        /// The client has read all output so far of a response that is not complete.
+        std::function<void(ExchangeId)> onDrained = {};
     };
 
     HttpServer(EventLoop &loop, Handlers handlers);
@@ -67,6 +75,8 @@
     auto beginStream(ExchangeId exchange, int status, const HeaderList &headers) -> void;
     /// Sends one chunk of the body of a response.
     auto write(ExchangeId exchange, std::string_view bytes) -> void;
+    /// Returns the bytes of a response that the client has not read yet, as far as is known.
+    [[nodiscard]] auto pendingOutput(ExchangeId exchange) -> std::size_t;
     /// Ends a response. An incomplete one closes the connection without the last chunk, so that
     /// the client does not take it for complete.
     auto endStream(ExchangeId exchange, bool complete) -> void;
@@ -91,6 +101,10 @@
     class Connection;
 
     auto accepted(std::shared_ptr<TcpStream> stream) -> void;
+    /// Returns the connection without progress for longest, of those that can give way: all that
+    /// serve no request, or only those that buffer bytes.
+    [[nodiscard]] auto stalest(bool buffersBytes) -> Connection *;
+    [[nodiscard]] auto stalestSince(bool buffersBytes) -> std::optional<TimePoint>;
     [[nodiscard]] auto find(ExchangeId exchange) -> Connection *;
     auto abandon(std::uint64_t connection) -> void;
     auto remove(std::uint64_t connection) -> void;
@@ -99,6 +113,7 @@
 
     EventLoop &m_loop;
     Handlers m_handlers;
+    BufferBudget::HolderId m_holder = 0;
     HttpLimits m_limits;
     bool m_closing = false;
     bool m_closesIdle = false;
--- a/libs/net/include/heathergate/net/tcp_stream.h
+++ b/libs/net/include/heathergate/net/tcp_stream.h
@@ -43,13 +43,15 @@
 
     /// Appends bytes to the output buffer.
     auto write(std::string_view bytes) -> void;
+    /// Takes over bytes as the output buffer if it is empty, so that long output is not copied.
+    auto write(std::string &&bytes) -> void;
     /// Closes immediately; unsent output is lost.
     auto close() -> void;
     /// Closes immediately with a TCP reset, so that the peer does not take it for an orderly
     /// close.
     auto abort() -> void;
-    /// Closes once all output was written to the socket. Until then the stream keeps itself alive
-    /// and calls no handlers.
+    /// Closes once all output was written to the socket, or after a bounded time. Until then the
+    /// stream keeps itself alive and calls no handlers.
     auto closeAfterWrite() -> void;
     /// Ends the output once all of it was written to the socket, and closes once the peer has
     /// closed its side, or after a bounded time. Input is discarded, because a socket that is
@@ -97,8 +99,9 @@
     auto updateInterest() -> void;
     auto flush() -> void;
     auto fail(bool clean) -> void;
-    /// Keeps the stream alive without handlers.
+    /// Keeps the stream alive without handlers, until it is closed or a bounded time has passed.
     auto detach() -> void;
+    auto scheduleFlush() -> void;
     /// Handles that all output was written to the socket.
     auto drained() -> void;
     /// Ends the output and waits for the peer to close.
@@ -113,6 +116,8 @@
     WhenDrained m_whenDrained = WhenDrained::KeepOpen;
     /// The output has ended; input is discarded.
     bool m_isEnding = false;
+    /// Closes the stream after `closeAfterWrite` and `closeAfterPeer`, and keeps it alive until
+    /// then.
     TimerId m_endTimer = 0;
     bool m_hasWritten = false;
     bool m_flushScheduled = false;
@@ -121,8 +126,6 @@
     /// Bytes of `m_output` that were written to the socket.
     std::size_t m_written = 0;
     Handlers m_handlers;
-    /// Keeps the stream alive after `closeAfterWrite` and `closeAfterPeer`.
-    std::shared_ptr<TcpStream> m_self;
 };
 
 /// A listening socket.
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -97,8 +97,7 @@
         m_hasResponse = false;
         m_startedAt = m_client.m_loop.now();
         m_stream->beginMessage();
-        m_stream->write(m_request.bytes);
-        m_request.bytes.clear();
+        m_stream->write(std::exchange(m_request.bytes, {}));
     }
 
     auto close() -> void
@@ -117,9 +116,15 @@
         return m_stream && m_stream->isOpen() && now - m_idleSince < maxIdle;
     }
 
+    auto setReading(bool reading) -> void
+    {
+        m_stream->setReading(reading);
+    }
+
     /// Keeps the connection in the pool until the server's keep-alive time ends.
     auto keepIdle() -> void
     {
+        m_stream->setReading(true);
         m_idleSince = m_client.m_loop.now();
         m_id = 0;
         m_timer = m_client.m_loop.at(m_idleSince + m_allowedIdle,
@@ -291,6 +296,12 @@
     return sent;
 }
 
+auto HttpClient::setReading(OutgoingId id, bool reading) -> void
+{
+    if (const auto found = m_active.find(id); found != m_active.end())
+        found->second->setReading(reading);
+}
+
 auto HttpClient::closeIdle(const Endpoint &server) -> void
 {
     const auto found = m_idle.find(server);
--- a/libs/net/src/tcp_stream.cpp
+++ b/libs/net/src/tcp_stream.cpp
@@ -18,6 +18,10 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 constexpr int kListenBacklog = 256;
+/// Maximum time in which the peer has to read the rest of the output after the last message.
+constexpr Duration kLastOutputTimeout = std::chrono::seconds(10);
+/// Memory of an empty output buffer that is kept for the next message.
+constexpr std::size_t kMaxRetainedBytes = 16 * 1024;
 /// Maximum time for which the peer may take to close its side after the end of the output.
 constexpr Duration kPeerCloseTimeout = std::chrono::seconds(1);
 
@@ -91,6 +95,22 @@
     if (!isOpen() || bytes.empty())
         return;
     m_output.append(bytes);
+    scheduleFlush();
+}
+
+auto TcpStream::write(std::string &&bytes) -> void
+{
+    if (!isOpen() || bytes.empty())
+        return;
+    if (pendingOutput() > 0)
+        return write(std::string_view(bytes));
+    m_output = std::move(bytes);
+    m_written = 0;
+    scheduleFlush();
+}
+
+auto TcpStream::scheduleFlush() -> void
+{
     if (!m_connected || std::exchange(m_flushScheduled, true))
         return;
     // All writes of one round are sent with one system call.
@@ -115,7 +135,6 @@
     if (auto self = weak_from_this().lock())
         m_loop.defer([self, handlers = std::make_shared<Handlers>(std::move(m_handlers))] {});
     m_handlers = {};
-    m_loop.defer([self = std::exchange(m_self, nullptr)] {});
 }
 
 auto TcpStream::abort() -> void
@@ -151,16 +170,18 @@
 auto TcpStream::detach() -> void
 {
     m_loop.defer([handlers = std::make_shared<Handlers>(std::exchange(m_handlers, {}))] {});
-    m_self = shared_from_this();
+    // The timer keeps the stream alive, so that it ends with the loop at the latest.
+    m_endTimer = m_loop.at(m_loop.now() + kLastOutputTimeout,
+                           [self = shared_from_this()] { self->close(); });
 }
 
 auto TcpStream::awaitPeerClose() -> void
 {
+    const auto self = shared_from_this();
     m_isEnding = true;
     static_cast<void>(::shutdown(m_handle, SHUT_WR)); // A connection that has failed ends anyway.
-    // From now on the timer keeps the stream alive, so that it ends with the loop at the latest.
-    m_endTimer = m_loop.at(m_loop.now() + kPeerCloseTimeout,
-                           [self = std::exchange(m_self, nullptr)] { self->close(); });
+    m_loop.cancel(m_endTimer);
+    m_endTimer = m_loop.at(m_loop.now() + kPeerCloseTimeout, [self] { self->close(); });
     setReading(true);
 }
 
@@ -215,6 +236,8 @@
         return;
     if (pendingOutput() == 0) {
         m_output.clear();
+        if (m_output.capacity() > kMaxRetainedBytes)
+            std::string().swap(m_output);
         m_written = 0;
         drained();
     }
--- a/libs/node/include/heathergate/node/node_settings.h
+++ b/libs/node/include/heathergate/node/node_settings.h
@@ -51,6 +51,8 @@
     fleet::PlacementSettings placement;
 
     // [limits]
+    /// Memory of the machine, in MiB.
+    std::size_t memoryMb = 96;
     Duration quotaWindow = std::chrono::seconds(5);
     /// Time between SIGTERM and SIGKILL.
     Duration shutdownGracePeriod = std::chrono::seconds(8);
--- a/libs/node/include/heathergate/node/process.h
+++ b/libs/node/include/heathergate/node/process.h
@@ -76,6 +76,9 @@
     auto reload(std::string_view reason) -> void;
     auto checkFile() -> void;
     auto reportRefusedHandles() -> void;
+    /// Logs that clients gave way because the budget of buffers was exceeded.
+    auto reportBudget() -> void;
+    auto addBudgetMetrics(telemetry::Metrics &metrics) -> void;
     auto checkBacklog() -> void;
     auto flushLog() -> void;
     auto openMetrics() -> Result<void>;
@@ -96,6 +99,8 @@
     TimePoint m_wakeTime = TimePoint::max();
     /// Connections refused for lack of handles, as last logged.
     std::uint64_t m_reportedRefusals = 0;
+    /// The budget's counters as last logged.
+    net::BufferBudget::Counters m_reportedCounters;
     /// Unsent bytes to other instances at which the next line is logged.
     std::size_t m_nextBacklogReport = kMinReportedBacklogBytes;
     TimePoint m_nextBacklogCheck{};
--- a/libs/node/src/process.cpp
+++ b/libs/node/src/process.cpp
@@ -5,6 +5,7 @@
 #include <cstring>
 #include <ctime>
 #include <fstream>
+#include <malloc.h>
 #include <poll.h>
 #include <sstream>
 #include <unistd.h>
@@ -29,6 +30,20 @@
 /// Time within which a peer must respond to a message before its connection counts as lost.
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(1200);
 
+/// Memory of a process apart from what it buffers for clients: the program, the fleet's state, and
+/// what the allocator cannot reuse.
+constexpr std::size_t kBaseMemoryMb = 32;
+/// Part of the remaining memory that is buffered for clients. A buffer that grows exists twice for
+/// a moment, and responses are assembled from parts.
+constexpr std::size_t kBufferShare = 2;
+constexpr std::size_t kBytesPerMb = 1024 * 1024;
+/// Part of the handles that clients' connections may use, in percent. The others are for upstreams,
+/// other instances, and files.
+constexpr int kClientHandlesPercent = 60;
+/// Size from which on memory is mapped by itself, so that it returns to the system once it is
+/// freed. The allocator would otherwise raise this size with each freed buffer.
+constexpr int kMappedBytes = 256 * 1024;
+
 /// Start time of the process, set during static initialization.
 const TimePoint startedAt = net::BootClock().now();
 
@@ -93,6 +108,11 @@
     , m_wallOffset(currentWallOffset())
     , m_log(m_wallOffset)
 {
+    ::mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+    const auto memory = m_settings.memoryMb * kBytesPerMb;
+    m_loop.budget().setLimits((memory - kBaseMemoryMb * kBytesPerMb) / kBufferShare,
+                              static_cast<std::size_t>(m_loop.maxHandles()) * kClientHandlesPercent
+                                  / 100);
 }
 
 Process::~Process() = default;
@@ -139,6 +159,7 @@
                         static_cast<double>(m_loop.refusedHandles()));
             metrics.set("heathergate_peer_backlog_bytes", {},
                         static_cast<double>(m_links->backlog().bytes));
+            addBudgetMetrics(metrics);
             response.headers.add("Content-Type", "text/plain; version=0.0.4");
             response.body = metrics.render();
         } else {
@@ -148,6 +169,9 @@
     };
     handlers.onDisconnect = [](net::ExchangeId) {};
     m_metricsServer = std::make_unique<net::HttpServer>(m_loop, std::move(handlers));
+    net::HttpLimits limits;
+    limits.maxBodyBytes = 0;
+    m_metricsServer->setLimits(limits);
     return m_metricsServer->listen({m_settings.host, m_settings.metricsPort});
 }
 
@@ -201,6 +225,7 @@
 {
     m_loop.at(m_loop.now() + kFileCheckInterval, [this] { checkFile(); });
     reportRefusedHandles();
+    reportBudget();
     if (readFile(m_file) != m_fileContent)
         reload("file_changed");
 }
@@ -214,6 +239,39 @@
               {{"limit", m_loop.maxHandles()}, {"refused", refused}});
 }
 
+auto Process::reportBudget() -> void
+{
+    const auto &budget = m_loop.budget();
+    const auto &counters = budget.counters();
+    const auto before = std::exchange(m_reportedCounters, counters);
+    if (counters.closedForMemory == before.closedForMemory
+        && counters.closedForDescriptors == before.closedForDescriptors
+        && counters.refused == before.refused)
+        return;
+    m_log.add(m_loop.now(), LogImportance::Important, "process", "clients_gave_way",
+              {{"buffered_bytes", budget.usedBytes()},
+               {"limit_bytes", budget.maxBytes()},
+               {"connections", budget.connections()},
+               {"closed_for_memory", counters.closedForMemory - before.closedForMemory},
+               {"closed_for_handles", counters.closedForDescriptors - before.closedForDescriptors},
+               {"refused", counters.refused - before.refused}});
+}
+
+auto Process::addBudgetMetrics(telemetry::Metrics &metrics) -> void
+{
+    const auto &budget = m_loop.budget();
+    const auto &counters = budget.counters();
+    const auto set = [&](const char *name, std::uint64_t value) {
+        metrics.set(name, {}, static_cast<double>(value));
+    };
+    set("heathergate_client_buffer_bytes", budget.usedBytes());
+    set("heathergate_client_buffer_limit_bytes", budget.maxBytes());
+    set("heathergate_client_connections", budget.connections());
+    set("heathergate_clients_closed_for_memory", counters.closedForMemory);
+    set("heathergate_clients_closed_for_handles", counters.closedForDescriptors);
+    set("heathergate_requests_refused_for_memory", counters.refused);
+}
+
 /// Logs the unsent output to other instances each time it has doubled, and once it is small again.
 auto Process::checkBacklog() -> void
 {
--- a/scripts/uncontrolled-clients-test.py
+++ b/scripts/uncontrolled-clients-test.py
@@ -332,8 +332,18 @@
 
 
 def lowerLimits(fleet):
-    """Starts the fleet, with the memory of the machine in the settings where the binary knows it."""
-    fleet.start()
+    """Starts the fleet, with the lowered memory of the machine in the settings."""
+    render = standins.render
+
+    def withMemory(template, values):
+        # [limits] is the last table of the templates.
+        return render(template, values) + f"\nmemory_mb = {MEMORY_MB}\n"
+
+    standins.render = withMemory
+    try:
+        fleet.start()
+    finally:
+        standins.render = render
 
 
 def main():
