Weigh new connections when streams are placed that must not run twice

Change: the leader follows which gateway has an idle connection to which upstream, and adds [placement] connection_cost_ms where none is expected. Off by default; requests that may be repeated are placed as before.

Weighed: longer idle times, fixed subsets, reports of pools (docs/design/connections.md).

--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <heathergate/fleet/connection_tracker.h>
 #include <heathergate/fleet/drain_rate.h>
 #include <heathergate/fleet/fleet_state.h>
 #include <heathergate/fleet/placement_settings.h>
@@ -32,6 +33,9 @@
     std::optional<TimePoint> finishBy;
     routing::PromptPrefixes prompt;
     int expectedTokens = 0;
+    /// The request is a stream that must not run twice, so that it needs a new connection unless
+    /// one was used recently.
+    bool needsRecentConnection = false;
     /// Identical for requests with the same caller, path and body.
     std::uint64_t fingerprint = 0;
     /// Upstreams at which the request is not placed.
@@ -195,6 +199,12 @@
     {
         return std::exchange(m_overdue, {});
     }
+    /// Returns the number of new connections that requests which need a recent one are expected to
+    /// have opened, since the last call.
+    [[nodiscard]] auto takeExpectedConnections() -> std::uint64_t
+    {
+        return std::exchange(m_expectedConnections, 0);
+    }
     /// Returns the upstreams whose pace has begun or ended since the last call.
     [[nodiscard]] auto takePaceChanges() -> std::vector<PaceChange>
     {
@@ -328,6 +338,11 @@
                          const AttemptReport &report) -> void;
 
     PlacementSettings m_settings;
+    /// Returns whether placements take the cost of new connections into account.
+    [[nodiscard]] auto weighsConnections() const -> bool
+    {
+        return m_settings.connectionCost > Duration::zero();
+    }
     /// Begins the pace of an upstream, if paces are measured.
     auto beginPace(TimePoint now, Upstream &upstream, std::string_view why) -> void;
     /// Begins the pace of an upstream that has started recently, while others of its service have
@@ -354,6 +369,8 @@
     PoisonRegister m_poison;
     std::vector<Placement> m_placements;
     std::vector<Rejection> m_rejections;
+    ConnectionTracker m_connections;
+    std::uint64_t m_expectedConnections = 0;
     std::vector<PaceChange> m_paceChanges;
     std::uint64_t m_rejected = 0;
     /// The upstreams that are being set may have received requests of a former leader.
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -58,6 +58,7 @@
     if (message.finishIn >= 0)
         work.finishBy = now + Duration(message.finishIn);
     work.prompt = prefixesOf(message);
+    work.needsRecentConnection = message.stream == 0 && !message.prompt.empty();
     work.expectedTokens = message.expectedTokens;
     work.fingerprint = message.fingerprint;
     for (const auto &upstream : message.avoid)
@@ -461,6 +462,9 @@
         m_log.add(now, LogImportance::Important, "admission", "slot_overdue",
                   {{"admission", request}, {"term", m_replica.term()}});
     }
+    if (const auto opened = m_dispatcher.takeExpectedConnections(); opened > 0)
+        m_metrics.count("heathergate_new_connections_expected_total", {},
+                        static_cast<double>(opened));
     for (const auto &change : m_dispatcher.takePaceChanges())
         m_log.add(now, LogImportance::Important, "upstreams",
                   change.hasBegun ? "pace_begun" : "pace_ended",
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -37,6 +37,11 @@
 /// the same time.
 constexpr std::uint64_t kRetrySpreadSteps = 8;
 
+auto toMilliseconds(Duration duration) -> double
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 auto fromSeconds(double seconds) -> Duration
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -138,6 +143,8 @@
     if (upstream != m_upstreams.end()) {
         upstream->second.running.erase(request);
         updateEstimates(now, upstream->second, state, report);
+        if (weighsConnections() && report.outcome == AttemptOutcome::Answered)
+            m_connections.released(now, state.work.gateway, *state.placedAt);
     }
     if (report.outcome == AttemptOutcome::Broken)
         m_poison.recordFailure(now, state.work.fingerprint);
@@ -148,6 +155,7 @@
 
 auto Dispatcher::dropGateway(TimePoint now, const InstanceId &gateway) -> void
 {
+    m_connections.dropGateway(gateway);
     std::vector<RequestId> dropped;
     for (const auto &[id, state] : m_work) {
         if (state.work.gateway == gateway)
@@ -201,6 +209,9 @@
         if (!isAvailable(now, upstream, work))
             continue;
         auto adjustedCost = cost(upstream, work);
+        if (work.needsRecentConnection && weighsConnections()
+            && !m_connections.hasIdle(now, work.gateway, id))
+            adjustedCost += toMilliseconds(m_settings.connectionCost);
         if (now < upstream.coldUntil)
             adjustedCost *= 2;
         // A measured pace takes the place of the slow start by time.
@@ -323,6 +334,9 @@
     upstream.cache.touch(work.prompt);
     state.placedAt = id;
     state.placedTime = now;
+    if (weighsConnections() && m_connections.used(now, work.gateway, id)
+        && work.needsRecentConnection)
+        ++m_expectedConnections;
     upstream.rate.take(now);
     upstream.pace.take(now);
     m_placements.push_back(placementOf(state, upstream, now - state.submittedAt));
--- a/libs/fleet/src/dispatcher_upstreams.cpp
+++ b/libs/fleet/src/dispatcher_upstreams.cpp
@@ -70,6 +70,7 @@
             upstream.slowdown = 1;
             upstream.lastUnreachableAt.reset();
             upstream.pace = {};
+            m_connections.dropUpstream(id);
         }
         upstream.isEngine = engine != nullptr;
         upstream.record = record;
