Spread the voters of the control group over the failure domains

Cause: the next voter was the first instance by address. The loss of a domain with three of five voters would stop the group.

Change: of the instances that can be added, one in the domain with the fewest voters.

Test: addsTheInstanceWhoseFailureDomainHasTheFewestVoters.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -296,7 +296,9 @@
     [[nodiscard]] auto hasSpare(TimePoint now) const -> bool;
     /// Removes a voter as soon as the others form a majority without it and hold its turns.
     auto removeVoter(TimePoint now, const consensus::ReplicaId &leaving) -> void;
+    /// Returns the replica to add to the group: one in the failure domain with the fewest voters.
     [[nodiscard]] auto candidate(TimePoint now) const -> std::optional<consensus::ReplicaId>;
+    [[nodiscard]] auto votersIn(TimePoint now, const std::string &domain) const -> std::size_t;
     auto logGroupChange(TimePoint now, std::string_view event, const consensus::ReplicaId &replica,
                         const Result<consensus::Index> &result) -> bool;
 
--- a/libs/fleet/src/control_members.cpp
+++ b/libs/fleet/src/control_members.cpp
@@ -351,14 +351,32 @@
 auto ControlNode::candidate(TimePoint now) const -> std::optional<consensus::ReplicaId>
 {
     const auto &group = m_replica.configuration();
+    std::optional<consensus::ReplicaId> chosen;
+    std::size_t fewest = 0;
     for (const auto &[id, member] : m_members) {
         const consensus::ReplicaId replica(member.presence.replica);
         if (replica.empty() || group.isVoter(replica) || group.isLearner(replica)
             || m_state.retiring().contains(id) || !isServing(now, replica))
             continue;
-        return replica;
+        const auto voters = votersIn(now, member.presence.domain);
+        if (chosen && voters >= fewest)
+            continue;
+        chosen = replica;
+        fewest = voters;
     }
-    return std::nullopt;
+    return chosen;
+}
+
+/// Returns how many voters that stay in the group are in a failure domain.
+auto ControlNode::votersIn(TimePoint now, const std::string &domain) const -> std::size_t
+{
+    const auto &voters = m_replica.configuration().voters;
+    return static_cast<std::size_t>(
+        std::count_if(voters.begin(), voters.end(), [&](const auto &voter) {
+            const auto member = m_members.find(instanceOf(voter));
+            return member != m_members.end() && member->second.presence.domain == domain
+                   && !shouldLeave(now, voter);
+        }));
 }
 
 auto ControlNode::logGroupChange(TimePoint now, std::string_view event,
--- a/libs/fleet/test/control_fleet.h
+++ b/libs/fleet/test/control_fleet.h
@@ -64,6 +64,8 @@
         settings.replica = ReplicaId(replica);
         settings.genesis = genesis;
         settings.name = "node-" + instance;
+        if (const auto domain = m_domains.find(instance); domain != m_domains.end())
+            settings.domain = FailureDomainId(domain->second);
         settings.controlAddress = instance + ":8000";
         settings.boot = ++m_boots;
         settings.seeds = {InstanceId(nameOf(0)), InstanceId(nameOf(1)), InstanceId(nameOf(2))};
@@ -74,6 +76,12 @@
         m_replicas[instance] = replica;
     }
 
+    /// Sets the failure domain of an instance that is started later.
+    auto setDomain(const std::string &instance, const std::string &domain) -> void
+    {
+        m_domains[instance] = domain;
+    }
+
     /// Terminates an instance; its disk keeps its state.
     auto kill(const std::string &instance) -> void
     {
@@ -270,6 +278,7 @@
     consensus::Configuration m_genesis;
     std::map<std::string, std::unique_ptr<ControlNode>> m_nodes;
     std::map<std::string, std::string> m_replicas;
+    std::map<std::string, std::string> m_domains;
     std::map<std::string, Disk> m_disks;
     std::vector<std::tuple<std::string, std::string, PeerFrame>> m_inTransit;
     std::map<std::string, std::vector<Message>> m_externalMessages;
--- a/libs/fleet/test/control_members_test.cpp
+++ b/libs/fleet/test/control_members_test.cpp
@@ -107,6 +107,24 @@
     BOOST_TEST(hasMetric(fleet, "heathergate_group_voters_serving 5"));
 }
 
+// Guards against voters that are crowded in some failure domains: the loss of one could then stop
+// the group, and gateways in the others would read every turn of a history from afar.
+BOOST_AUTO_TEST_CASE(addsTheInstanceWhoseFailureDomainHasTheFewestVoters)
+{
+    Fleet fleet(4); // In a failure domain without a name.
+    fleet.waitForLeader();
+    fleet.setDomain("10.0.0.9", "b");
+    fleet.startSpare("10.0.0.5");
+    fleet.startSpare("10.0.0.9");
+    fleet.run(6s);
+    const auto &group = fleet.node(fleet.leader()).replica().configuration();
+    BOOST_TEST_REQUIRE(group.voters.size() == 5U);
+    const auto isVoter =
+        std::any_of(group.voters.begin(), group.voters.end(),
+                    [](const auto &voter) { return instanceOf(voter).value == "10.0.0.9"; });
+    BOOST_TEST(isVoter);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenAGatewayIsLost)
