--- a/review/workers2.py
+++ b/review/workers2.py
@@ -114,7 +114,7 @@
         self.beats.cancel()
         self.server.close()
         for writer in list(self.connections):
-            writer.close()
+            writer.transport.abort()
 
 
 def request_text(method, path, request, headers=None, body=b"", deadline_ms=1200):
