--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,7 +15,8 @@
 READERS = 8  # "Up to eight orders may be in progress at once."
 TENANTS = 300
 # Callers back off after a failure, each time for longer.
-MAX_DELAY_S = 0.004
+FIRST_DELAY_S = 0.0005
+MAX_DELAY_S = 0.002
 APPLY_S = fleet2.BOUNDS["config_apply_ms"] / 1000
 
 
@@ -40,7 +41,7 @@
 def read(number, addresses, ends, results):
     """Reads the configuration again and again, at any daemon, one call at a time."""
     seen, at = [], number
-    delay = 0.001
+    delay = FIRST_DELAY_S
     while not ends.is_set():
         address = addresses[at % len(addresses)]
         sent = time.monotonic()
@@ -52,7 +53,7 @@
             status, headers, body = fleet2.call(address, "GET", "/Config.Get")
         if status == 200:
             seen.append((sent, time.monotonic(), address[0], json.loads(body)["version"]))
-            delay = 0.001
+            delay = FIRST_DELAY_S
             continue
         at += 1
         time.sleep(delay)
@@ -87,18 +88,18 @@
                 for i in range(READERS)]
             for reader in readers:
                 reader.start()
-            time.sleep(0.2)
+            time.sleep(0.1)
             if trouble:
                 for machine in fleet.controls:
                     machine.kill()
                 for machine in fleet.controls:
                     machine.wait()
                 record("killed all processes of the core")
-                time.sleep(0.5)
+                time.sleep(0.2)
                 for machine in fleet.controls:
                     machine.start()
                 record("started them again")
-            time.sleep(1.3)
+            time.sleep(1.1)
             ends.set()
             answers = [answer for _ in readers for answer in results.get(timeout=10)]
             for reader in readers:
