--- a/review/6/case.py
+++ b/review/6/case.py
@@ -40,9 +40,10 @@
 
 def read(number, addresses, ends, results):
     """Reads the configuration again and again, at any daemon, one call at a time."""
-    seen, at = [], number
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
+    seen, at, case_process = [], number, os.getppid()
     delay = FIRST_DELAY_S
-    while not ends.is_set():
+    while not ends.is_set() and os.getppid() == case_process:
         address = addresses[at % len(addresses)]
         sent = time.monotonic()
         status, headers, body = fleet2.call(address, "GET", "/Config.Get")
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -196,6 +196,7 @@
     """Runs a case. `case(record, trouble)` returns the breaks of the rule that it saw."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # Ends all that the case started.
     path = os.path.join(folder, "record.txt")
     begun = time.monotonic()
     with open(path, "w", encoding="utf-8") as file:
