--- a/review/workers2.py
+++ b/review/workers2.py
@@ -61,6 +61,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = 0
+        self.first_beat_s = 0  # After the start.
         self.connections = set()
         self.registered = asyncio.Event()
 
@@ -69,6 +70,7 @@
         self.beats = asyncio.create_task(self.beat())
 
     async def beat(self):
+        await asyncio.sleep(self.first_beat_s)
         while True:
             self.sequence += 1
             body = json.dumps({
