--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 9: a request that crashes workers comes again after its caller's key was replaced."""
+"""Case 9: a heartbeat of another writer, with a service that isn't named, replaces a worker."""
 import asyncio
 import json
 import os
@@ -10,93 +10,84 @@
 import fleet2
 import workers2
 
-WORKERS = 6
-DOWN_S = 2.0
-RETRY_S = 1.0  # Between two tries of the request that crashes workers.
-ROUND_S = 12.0  # Between two replacements of the key.
-KEYS = ["3fexd9dnn2ctnfzs989a", "nu6wsjnbanfqasnmgkcu", "p0q8zj4m2xw7c5v9b1ka"]
-CRASHING = b"a request that crashes each worker that begins to run it"
+TRAFFIC_S = 20.0
+SETTLE_S = 3.0
+GAP_S = 0.05  # Between two requests on a route.
+
+
+async def serve(worker, _reader, writer, _line, headers, _body):
+    await asyncio.sleep(0.01)
+    worker.answer(writer, 200, headers, b"x" * 800)
+
+
+async def traffic(fleet, record, prefix, until, served):
+    """Sends requests on a route. Notes for each if it was answered with success by its worker."""
+    number = 0
+    while time.monotonic() < until:
+        number += 1
+        request = f"{random.getrandbits(64):016x}"
+        gateway = random.choice(fleet.gateways)
+        sent = time.monotonic()
+        status, headers, _ = await workers2.client_request(
+            (gateway.ip, fleet.ports["front"]), workers2.request_text("GET", prefix + "a", request))
+        good = status == 200 and "x-heathergate-response-signature" in headers
+        served.append((sent, good))
+        record(f"request {request} on {prefix} at {gateway.name}: {status}")
+        await asyncio.sleep(GAP_S)
 
 
 async def play(fleet, record, trouble):
+    workers = []
+    for i, service in enumerate(["lohu96a", "lohu96a", "wuno96b", "wuno96b"]):
+        workers.append(workers2.Worker(fleet, record, f"i-{i + 1}", service,
+                                       (f"{fleet.prefix}.{201 + i}", 8080), serve))
     loop = asyncio.get_running_loop()
-    runs, workers = [], []
 
-    async def put(version, keys):
-        document = json.loads(workers2.configuration(
-            version, [workers2.route("r-1", "/pule252/", "wuno96b", kind="unsafe")],
-            {"wuno96b": {}}))
-        document["tenants"] = [{"name": "hule930", "api_keys": keys, "priority": 1,
-                                "rate_per_s": 203, "burst": 203}]
-        text = json.dumps(document)
+    async def put(version, routes):
+        document = workers2.configuration(version, routes, {"lohu96a": {}, "wuno96b": {}})
         status, _ = await loop.run_in_executor(
-            None, lambda: fleet2.order(fleet, "POST", "/Config.Put", text))
-        record(f"configuration {version} with the keys {keys}: {status}")
+            None, lambda: fleet2.order(fleet, "POST", "/Config.Put", document))
+        record(f"configuration {version}: {status}")
         if status != 200:
             raise fleet2.CannotRun("the configuration was not acknowledged")
-
-    async def serve(worker, _reader, writer, _line, headers, body):
-        if body != CRASHING:
-            await asyncio.sleep(0.01)
-            return worker.answer(writer, 200, headers, b"x" * 800)
-        runs.append(time.monotonic())
-        record(f"run {len(runs)} of the request, {headers['x-heathergate-request-id']} of "
-               f"{headers.get('x-heathergate-tenant')}, crashes {worker.name}")
-        asyncio.get_running_loop().create_task(crash(worker))
-
-    async def crash(worker):
-        at = workers.index(worker)
-        await worker.stop()
-        await asyncio.sleep(DOWN_S)
-        workers[at] = new_worker(at, len(runs))
-        await workers[at].start()
-
-    def new_worker(i, incarnation):
-        return workers2.Worker(fleet, lambda text: None, f"i-{i + 1}-{incarnation}", "wuno96b",
-                               (f"{fleet.prefix}.{201 + i}", 8080), serve)
-
-    await put(1, KEYS[:2])
-    workers += [new_worker(i, 0) for i in range(WORKERS)]
-    for worker in list(workers):
+    first = workers2.route("r-1", "/lohu930/", "lohu96a")
+    later = workers2.route("r-2", "/pule252/", "wuno96b")
+    await put(1, [first])
+    for worker in workers:
         await worker.start()
     await asyncio.wait_for(asyncio.gather(*(w.registered.wait() for w in workers)), 10)
-    await asyncio.sleep(4)
-    begun, ordinary = time.monotonic(), []
-
-    async def send(key, body):
-        gateway = random.choice(fleet.gateways)
-        request = f"{random.getrandbits(64):016x}"
-        status, headers, _ = await workers2.client_request(
-            (gateway.ip, fleet.ports["front"]),
-            workers2.request_text("POST", "/pule252/a", request, {"Api-Key": key}, body))
-        return request, status
-
-    key = KEYS[0]
-    for round_number in range(3):
-        until = begun + ROUND_S * (round_number + 1)
-        while time.monotonic() < until:
-            request, status = await send(key, CRASHING)
-            record(f"the request came as {request} with the key {key}: {status}")
-            _, status = await send(key, f"ordinary {random.random()}".encode())
-            ordinary.append(status)
-            await asyncio.sleep(RETRY_S)
-        if round_number < 2 and trouble:
-            # The key is taken away; its caller goes on with the other one that it holds.
-            key = KEYS[round_number + 1]
-            await put(4 + 3 * round_number, KEYS[round_number + 1:round_number + 3])
-            await asyncio.sleep(fleet2.BOUNDS["config_apply_ms"] / 1000)
-    await asyncio.sleep(DOWN_S + 1)
+    await put(4, [first, later])
+    await asyncio.sleep(SETTLE_S)
+    begun = time.monotonic()
+    served = {"/lohu930/": [], "/pule252/": []}
+    senders = [asyncio.create_task(traffic(fleet, record, prefix, begun + TRAFFIC_S, seen))
+               for prefix, seen in served.items()]
+    await asyncio.sleep(3)
+    if trouble:
+        for worker in workers[2:]:
+            body = json.dumps({
+                "service": "nosuch", "address": f"{worker.address[0]}:{worker.address[1]}",
+                "zone": "prairie-b", "version": "v1", "slots": 6, "state": "ready",
+                "cold_remaining_ms": 0, "sequence": 1,
+                "born": int(time.time() * 1000)}).encode()
+            status = await workers2.call_control(fleet.control_addresses(), "POST",
+                                                 f"/Instances.Heartbeat/x-{worker.name}", body)
+            record(f"heartbeat of another writer, service nosuch, address of {worker.name}: "
+                   f"{status}")
+    struck = time.monotonic()
+    await asyncio.gather(*senders)
     for worker in workers:
         await worker.stop()
-    record(f"{len(runs)} runs; {ordinary.count(200)} of {len(ordinary)} ordinary requests served")
-    if len(runs) < 3:
-        raise fleet2.CannotRun("the request has not crashed three workers")
-    contact = fleet2.BOUNDS["contact_ms"] / 1000
-    late = [at for at in runs if at > runs[2] + contact]
-    record(f"{len(late)} runs later than {contact} s after the third crash")
-    if len(late) > 3:
-        return [f"the request reached workers {len(late)} times later than {contact} s after it "
-                "had crashed the third"]
+    shares = {}
+    for prefix, seen in served.items():
+        later_ones = [good for sent, good in seen if sent > struck + SETTLE_S]
+        shares[prefix] = sum(later_ones) / max(len(later_ones), 1)
+        record(f"{prefix}: {sum(later_ones)} of {len(later_ones)} served in steady state")
+        if len(later_ones) < 20:
+            raise fleet2.CannotRun("too few requests")
+    if shares["/pule252/"] < shares["/lohu930/"] / 4:
+        return [f"the later route is served at {shares['/pule252/']:.3f}, the first one at "
+                f"{shares['/lohu930/']:.3f}"]
     return []
 
 
