--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -254,6 +254,12 @@
     if (m_state.streams().isRecorded(state.stream, service, version))
         return;
     state.awaitsRecord = true;
+    m_log.add(now, LogImportance::Routine, "admission", "stream_recorded",
+              {{"admission", request},
+               {"stream", state.stream},
+               {"upstream", placement.upstream.value},
+               {"software", version},
+               {"term", m_replica.term()}});
     auto command = std::make_unique<fb::CommandT>();
     command->stream = std::make_unique<fb::RecordStreamT>();
     command->stream->stream = state.stream;
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -124,6 +124,11 @@
         answer.status = CallStatus::Unavailable;
     else
         answer.document = m_state.configurationDocument();
+    m_log.add(now, LogImportance::Routine, "operator", "configuration_read",
+              {{"version", m_state.configuration().version()},
+               {"applied", m_applied},
+               {"committed", m_replica.commitIndex()},
+               {"term", m_replica.term()}});
     m_output.answers.push_back(std::move(answer));
 }
 
