Let a new leader decide only by the state that holds all committed entries

Cause: canServeReads was true once the commit index had passed the term's first entry; the entries are applied at the end of the round. Ruled out: a lost end of the log, a lease of an older term. Now the entries have to be handed over first, for join and serve alike.

Before: aLeaderServesNoReadsBeforeItsCommittedEntriesAreTaken, theFirstReadInAnyRoundShowsTheNewestConfiguration (49 instead of 90) and theFirstLeaveInAnyRoundRemovesTheUpstream failed; after, they pass.

--- a/libs/consensus/include/heathergate/consensus/replica.h
+++ b/libs/consensus/include/heathergate/consensus/replica.h
@@ -57,7 +57,8 @@
     [[nodiscard]] auto takeEffects(TimePoint now) -> Effects;
 
     /// Returns whether this replica is the leader and may serve reads without contacting others:
-    /// its lease is valid and its state contains all entries committed in earlier terms.
+    /// its lease is valid, and all entries that were committed in earlier terms have been handed
+    /// over by `takeEffects`, so that the state into which the caller applies them is current.
     [[nodiscard]] auto canServeReads(TimePoint now) const -> bool;
     [[nodiscard]] auto role() const -> Role
     {
@@ -186,6 +187,9 @@
     auto writeEntries(std::vector<Entry> entries) -> void;
     auto addWrite(StorageWrite write) -> std::uint64_t;
     [[nodiscard]] auto termCommitted() const -> bool;
+    /// Returns whether `takeEffects` has handed over the entries that were committed before this
+    /// term.
+    [[nodiscard]] auto earlierTermsTaken() const -> bool;
 
     ReplicaId m_self;
     Settings m_settings;
@@ -203,6 +207,8 @@
     Role m_role = Role::Follower;
     std::optional<ReplicaId> m_leader;
     Index m_commitIndex = 0;
+    /// The last committed entry that `takeEffects` has handed over.
+    Index m_takenIndex = 0;
     /// Highest index up to which the log is known to match the current leader's log.
     Index m_verifiedIndex = 0;
     /// Highest index up to which the local log is known to be durable.
--- a/libs/consensus/src/replica.cpp
+++ b/libs/consensus/src/replica.cpp
@@ -154,12 +154,13 @@
 {
     if (m_role == Role::Leader)
         sendPendingEntries(now);
+    m_takenIndex = m_commitIndex;
     return std::exchange(m_effects, {});
 }
 
 auto Replica::canServeReads(TimePoint now) const -> bool
 {
-    if (m_role != Role::Leader || m_transferDeadline || !termCommitted())
+    if (m_role != Role::Leader || m_transferDeadline || !earlierTermsTaken())
         return false;
     return now < newestQuorumRound(now) + elapsedLowerBound(m_settings.electionTimeout);
 }
@@ -227,4 +228,9 @@
     return m_commitIndex >= m_termStartIndex;
 }
 
+auto Replica::earlierTermsTaken() const -> bool
+{
+    return m_takenIndex >= m_termStartIndex;
+}
+
 } // namespace heathergate::consensus
--- a/libs/consensus/test/replica_test.cpp
+++ b/libs/consensus/test/replica_test.cpp
@@ -79,6 +79,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a read that is answered before the entries of earlier terms are applied (review
+// case 6).
+BOOST_AUTO_TEST_CASE(aLeaderServesNoReadsBeforeItsCommittedEntriesAreTaken)
+{
+    const ReplicaId self("a");
+    Configuration genesis;
+    genesis.voters = {self};
+    Replica replica(self, {}, genesis, {}, Random(1), heathergate::TimePoint{});
+    const auto now = replica.nextDeadline();
+    replica.tick(now);
+    BOOST_TEST_REQUIRE((replica.role() == Role::Leader));
+    for (const auto &write : replica.takeEffects(now).writes)
+        replica.synced(now, write.number);
+    BOOST_TEST(replica.commitIndex() > 0U);
+    BOOST_TEST(!replica.canServeReads(now));
+    BOOST_TEST(!replica.takeEffects(now).committed.empty());
+    BOOST_TEST(replica.canServeReads(now));
+}
+
 BOOST_AUTO_TEST_SUITE(WhenAllReplicasRestart)
 
 BOOST_AUTO_TEST_CASE(aLeaderIsElectedSoonAfterTheFormerLeaseExpires)
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -309,8 +309,9 @@
 
 auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::CompletionT &message) -> void
 {
-    // While the lease has lapsed, the requests that this leader has placed still count.
-    if (m_replica.role() != consensus::Role::Leader)
+    // While the lease has lapsed, the requests that this leader has placed still count. One that
+    // was elected in this round has placed none.
+    if (m_replica.role() != consensus::Role::Leader || !m_wasLeader)
         return redirect(from);
     AttemptReport report;
     report.outcome = static_cast<AttemptOutcome>(message.ending);
--- a/libs/fleet/test/control_fleet.h
+++ b/libs/fleet/test/control_fleet.h
@@ -150,6 +150,13 @@
         m_suspended.erase(instance);
     }
 
+    /// Calls `handler` for each instance in each round, after the messages of the round are received
+    /// and before its output is taken.
+    auto onRound(std::function<void(const std::string &, ControlNode &)> handler) -> void
+    {
+        m_onRound = std::move(handler);
+    }
+
     auto run(Duration length) -> void
     {
         for (const auto end = m_now + length; m_now < end; m_now += 5ms)
@@ -246,6 +253,8 @@
                 continue;
             reportHistories(name, *node);
             node->tick(m_now);
+            if (m_onRound)
+                m_onRound(name, *node);
             auto output = node->takeOutput(m_now);
             for (const auto &write : output.storage) {
                 m_disks[m_replicas[name]].store(write);
@@ -283,6 +292,7 @@
     std::vector<std::tuple<std::string, std::string, PeerFrame>> m_inTransit;
     std::map<std::string, std::vector<Message>> m_externalMessages;
     std::map<CallToken, CallAnswer> m_answers;
+    std::function<void(const std::string &, ControlNode &)> m_onRound;
     std::set<std::string> m_isolated;
     std::set<std::string> m_notCopied;
     std::set<std::string> m_suspended;
--- a/libs/fleet/test/control_node_test.cpp
+++ b/libs/fleet/test/control_node_test.cpp
@@ -157,4 +157,79 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAllInstancesRestart)
+
+namespace {
+
+/// Version of the configuration, after the last snapshot, with which an upstream registers.
+constexpr std::uint64_t kRegisteredAt = 60;
+constexpr std::uint64_t kLastVersion = 90;
+
+/// A fleet whose snapshots are older than its newest configuration and upstream, and which was
+/// killed and has started again.
+struct RestartedFleet
+{
+    RestartedFleet()
+    {
+        auto leader = fleet.waitForLeader();
+        for (std::uint64_t version = 1; version <= kLastVersion; ++version) {
+            if (version == kRegisteredAt)
+                fleet.heartbeat(leader, upstream("u", 1, 1));
+            fleet.put(leader, version, std::to_string(version));
+            fleet.run(20ms);
+        }
+        fleet.run(100ms);
+        const std::vector<std::string> names{"10.0.0.1", "10.0.0.2", "10.0.0.3"};
+        for (const auto &name : names)
+            fleet.kill(name);
+        for (const auto &name : names)
+            fleet.restart(name);
+    }
+
+    /// Makes a call to every instance in each round until the first is answered as by a leader.
+    template <typename Call>
+    auto answerInEachRound(Call call) -> CallAnswer
+    {
+        std::vector<CallToken> tokens;
+        fleet.onRound([&](const std::string &, ControlNode &node) {
+            tokens.push_back(fleet.nextToken());
+            call(node, tokens.back());
+        });
+        for (int i = 0; i < 1000; ++i) {
+            fleet.run(5ms);
+            for (const auto token : tokens) {
+                const auto answer = fleet.answer(token);
+                if (answer && answer->status == CallStatus::Done)
+                    return *answer;
+            }
+        }
+        return {};
+    }
+
+    Fleet fleet;
+};
+
+} // namespace
+
+// Guards against a read that a new leader answers before it has applied what was committed.
+BOOST_FIXTURE_TEST_CASE(theFirstReadInAnyRoundShowsTheNewestConfiguration, RestartedFleet)
+{
+    const auto answer = answerInEachRound([&](ControlNode &node, CallToken token) {
+        node.readConfiguration(fleet.now(), token);
+    });
+    BOOST_TEST(answer.document == std::to_string(kLastVersion));
+}
+
+// Guards against a leave that a new leader acknowledges because its old state lacks the upstream.
+BOOST_FIXTURE_TEST_CASE(theFirstLeaveInAnyRoundRemovesTheUpstream, RestartedFleet)
+{
+    answerInEachRound([&](ControlNode &node, CallToken token) {
+        node.upstreamLeft(fleet.now(), token, UpstreamId("u"));
+    });
+    const auto &known = fleet.node(fleet.leader()).state().upstreams();
+    BOOST_TEST((known.at(UpstreamId("u")).phase == UpstreamPhase::Removed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
