Judge the reports of upstreams by the records at the end of the log

An upstream that left while its registration was on its way to the log was told that it is gone, and then stood in the record; a statement about a former incarnation replaced the new one. Cause: heartbeats and leaves were judged by the applied state. UpstreamRegistry judges them by the last record, proposed or applied; control_calls.cpp gives its rules away to it.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -6,6 +6,7 @@
 #include <heathergate/fleet/leader_link.h>
 #include <heathergate/fleet/peer_frame.h>
 #include <heathergate/fleet/quota_table.h>
+#include <heathergate/fleet/upstream_registry.h>
 #include <heathergate/history/replica_set.h>
 #include <heathergate/storage/storage_step.h>
 #include <heathergate/telemetry/telemetry.h>
@@ -357,6 +358,9 @@
     [[nodiscard]] auto commitAnswer(CallToken token) -> CommitHandler;
     auto setUpstream(TimePoint now, const UpstreamRecord &record, std::string_view why,
                      CommitHandler handler) -> void;
+    /// Returns whether a heartbeat was sent before its upstream stated, in a response, that it is
+    /// about to end.
+    [[nodiscard]] auto isOvertaken(const UpstreamRecord &heartbeat) const -> bool;
     [[nodiscard]] auto findMember(const std::string &name) const -> std::optional<InstanceId>;
     [[nodiscard]] auto isKnownDomain(const FailureDomainId &domain) const -> bool;
     [[nodiscard]] auto mayRetire(TimePoint now, const InstanceId &instance) const -> bool;
@@ -433,10 +437,13 @@
     Dispatcher m_dispatcher;
     std::unique_ptr<QuotaTable> m_quotas;
     std::unordered_map<RequestId, AdmissionState> m_admissions;
+    /// The proposed records of streams that are not applied yet.
+    std::multiset<std::pair<StreamId, ServiceId>> m_openStreamRecords;
     /// Admissions that wait for capacity in their customer's limit, by the time they proceed.
     std::multimap<TimePoint, std::pair<InstanceId, fb::AdmissionT>> m_delayed;
-    /// Sequence number of the last accepted heartbeat of each upstream.
-    std::map<UpstreamId, std::uint64_t> m_lastSequence;
+    UpstreamRegistry m_upstreams;
+    /// Instances whose retirement is proposed and not applied yet.
+    std::set<InstanceId> m_openRetirements;
     std::uint64_t m_appliedUpstreamChanges = 0;
 
     ControlOutput m_output;
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -364,10 +364,12 @@
                {"admission", message.request},
                {"born", message.born},
                {"term", m_replica.term()}});
-    const auto known = m_state.upstreams().find(upstream);
-    if (known == m_state.upstreams().end() || known->second.phase != UpstreamPhase::Ready)
+    // A later incarnation may be on its way to the log.
+    const auto *known = m_upstreams.recordOf(m_state, upstream);
+    if (known == nullptr || known->phase != UpstreamPhase::Ready
+        || known->startedAt != std::chrono::milliseconds(message.born))
         return;
-    auto record = known->second;
+    auto record = *known;
     record.phase = UpstreamPhase::Draining;
     setUpstream(now, record, "draining", {});
 }
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -15,13 +15,6 @@
 /// Minimum average time between two reports of an upstream.
 constexpr std::chrono::milliseconds kMinReportInterval{1};
 
-auto sameUpstream(const UpstreamRecord &left, const UpstreamRecord &right) -> bool
-{
-    return left.service == right.service && left.address == right.address
-           && left.domain == right.domain && left.slots == right.slots && left.phase == right.phase
-           && left.startedAt == right.startedAt && left.softwareVersion == right.softwareVersion;
-}
-
 } // namespace
 
 auto implausibility(const UpstreamReport &report) -> std::optional<std::string>
@@ -281,7 +274,13 @@
     auto command = std::make_unique<fb::CommandT>();
     command->upstream = std::make_unique<fb::SetUpstreamT>();
     command->upstream->upstream = std::make_unique<fb::UpstreamT>(toTable(record));
-    propose(std::move(command), true, std::move(handler));
+    m_upstreams.propose(record);
+    propose(std::move(command), true,
+            [this, id = record.id, handler = std::move(handler)](TimePoint at, bool committed) {
+                m_upstreams.settle(id);
+                if (handler)
+                    handler(at, committed);
+            });
 }
 
 auto ControlNode::upstreamHeartbeat(TimePoint now, CallToken token, const UpstreamReport &report)
@@ -303,43 +302,17 @@
         m_output.answers.push_back(std::move(answer));
         return;
     }
-    const auto known = m_state.upstreams().find(record.id);
-    const auto isKnown = known != m_state.upstreams().end();
-    // An outdated heartbeat is ignored: it comes from a former incarnation, was sent before a
-    // heartbeat that has already been received, or was sent before the upstream left.
-    auto isOutdated = isKnown
-                      && (record.startedAt < known->second.startedAt
-                          || (record.startedAt == known->second.startedAt
-                              && (known->second.phase == UpstreamPhase::Removed
-                                  || record.sequence <= known->second.sequence)));
-    auto &last = m_lastSequence[record.id];
-    if (isKnown && record.startedAt == known->second.startedAt && record.sequence <= last)
-        isOutdated = true;
-    std::vector<UpstreamRecord> replaced;
-    for (const auto &[id, other] : m_state.upstreams()) {
-        if (id == record.id || other.address != record.address
-            || other.phase == UpstreamPhase::Removed)
-            continue;
-        if (other.startedAt > record.startedAt)
-            isOutdated = true; // A newer upstream now has this address.
-        else
-            replaced.push_back(other);
-    }
-    if (isOutdated) {
+    const auto decision = m_upstreams.decide(m_state, record);
+    if (decision.kind == HeartbeatDecision::Kind::Outdated) {
         m_output.answers.push_back(std::move(answer));
         return;
     }
-    last = record.sequence;
-    for (auto &other : replaced) {
+    for (auto other : decision.replaced) {
         other.phase = UpstreamPhase::Removed;
         setUpstream(now, other, "replaced", {});
     }
-    // A heartbeat that was sent before the upstream stated that it is about to end may arrive
-    // later.
-    const auto isLate = isKnown && record.startedAt == known->second.startedAt
-                        && record.phase == UpstreamPhase::Ready
-                        && m_dispatcher.isRetired(record.id);
-    if (isKnown && replaced.empty() && (isLate || sameUpstream(known->second, record))) {
+    if (decision.kind == HeartbeatDecision::Kind::Unchanged
+        || (decision.replaced.empty() && isOvertaken(record))) {
         m_dispatcher.heartbeat(now, record.id, report.coldRemaining);
         m_output.answers.push_back(std::move(answer));
         return;
@@ -354,18 +327,27 @@
         });
 }
 
+auto ControlNode::isOvertaken(const UpstreamRecord &heartbeat) const -> bool
+{
+    const auto *known = m_upstreams.recordOf(m_state, heartbeat.id);
+    return known != nullptr && heartbeat.startedAt == known->startedAt
+           && heartbeat.phase == UpstreamPhase::Ready && m_dispatcher.isRetired(heartbeat.id);
+}
+
 auto ControlNode::upstreamLeft(TimePoint now, CallToken token, const UpstreamId &id) -> void
 {
     if (!isLeader(now))
         return answerNotLeader(now, token, "leave");
-    const auto known = m_state.upstreams().find(id);
-    if (known == m_state.upstreams().end() || known->second.phase == UpstreamPhase::Removed) {
+    // A record that is on its way to the log would outlast an answer that is given at once.
+    const auto *known = m_upstreams.recordOf(m_state, id);
+    const auto isGone = known == nullptr || known->phase == UpstreamPhase::Removed;
+    if (isGone && !m_upstreams.isProposed(id)) {
         CallAnswer answer;
         answer.token = token;
         m_output.answers.push_back(std::move(answer));
         return;
     }
-    auto record = known->second;
+    auto record = *known;
     record.phase = UpstreamPhase::Removed;
     setUpstream(now, record, "left", commitAnswer(token));
 }
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -329,7 +329,7 @@
     m_configurationSender = ConfigurationSender();
     m_configurationSender.activate(m_state.configuration().version());
     m_replicaSeenAt.clear();
-    m_lastSequence.clear();
+    m_upstreams = UpstreamRegistry();
     m_pendingUse.clear();
     m_unrecorded.clear();
     m_quotas.reset();
--- a/libs/fleet/test/control_calls_test.cpp
+++ b/libs/fleet/test/control_calls_test.cpp
@@ -87,6 +87,70 @@
     BOOST_TEST((records.at(UpstreamId("new")).phase == UpstreamPhase::Ready));
 }
 
+// Guards against a leave that is acknowledged at once while a registration is on its way to the log.
+BOOST_AUTO_TEST_CASE(removesAnUpstreamThatLeavesBeforeItsRegistrationIsRecorded)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 1, 1));
+    const auto token = fleet.nextToken();
+    fleet.node(leader).upstreamLeft(fleet.now(), token, UpstreamId("u"));
+    while (!fleet.answer(token))
+        fleet.run(5ms);
+    BOOST_TEST((fleet.answer(token)->status == CallStatus::Done));
+    fleet.run(100ms);
+    const auto &record = fleet.node(leader).state().upstreams().at(UpstreamId("u"));
+    BOOST_TEST((record.phase == UpstreamPhase::Removed));
+}
+
+// Guards against a heartbeat that brings an upstream back whose leave is on its way to the log.
+BOOST_AUTO_TEST_CASE(ignoresAHeartbeatWhileTheLeaveIsOnItsWayToTheLog)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 1, 1));
+    fleet.run(50ms);
+    fleet.node(leader).upstreamLeft(fleet.now(), fleet.nextToken(), UpstreamId("u"));
+    auto draining = upstream("u", 1, 2);
+    draining.phase = UpstreamPhase::Draining;
+    fleet.heartbeat(leader, draining);
+    fleet.run(100ms);
+    const auto &record = fleet.node(leader).state().upstreams().at(UpstreamId("u"));
+    BOOST_TEST((record.phase == UpstreamPhase::Removed));
+}
+
+// Guards against two upstreams at one address, of which neither was applied when the other came.
+BOOST_AUTO_TEST_CASE(keepsOnlyTheLatestOfTwoThatRegisterAtOnce)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("old", 1, 1));
+    fleet.heartbeat(leader, upstream("new", 5, 1));
+    fleet.run(100ms);
+    const auto &records = fleet.node(leader).state().upstreams();
+    BOOST_TEST((records.at(UpstreamId("old")).phase == UpstreamPhase::Removed));
+    BOOST_TEST((records.at(UpstreamId("new")).phase == UpstreamPhase::Ready));
+}
+
+// Guards against a record that is replaced by what a former incarnation stated.
+BOOST_AUTO_TEST_CASE(keepsANewIncarnationThatIsOnItsWayToTheLogWhenTheFormerOneIsLeaving)
+{
+    Fleet fleet;
+    const auto leader = fleet.waitForLeader();
+    fleet.heartbeat(leader, upstream("u", 1, 1));
+    fleet.run(50ms);
+    fleet.heartbeat(leader, upstream("u", 2, 1));
+    fb::UpstreamStatementT statement;
+    statement.upstream = "u";
+    statement.born = 1;
+    statement.leaving = true;
+    fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(statement)));
+    fleet.run(100ms);
+    const auto &record = fleet.node(leader).state().upstreams().at(UpstreamId("u"));
+    BOOST_TEST(record.startedAt.count() == 2);
+    BOOST_TEST((record.phase == UpstreamPhase::Ready));
+}
+
 BOOST_AUTO_TEST_CASE(placesNothingAtADrainingUpstreamOnceItIsAcknowledged)
 {
     Fleet fleet;
