Judge retirements by those on their way to the log, and call them complete once committed

Before, refusesASecondRetirementWhileTheFirstIsOnItsWayToTheLog and aRetirementHasSucceededOnlyOnceTheRemovalIsCommitted failed; after, they pass.

--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -144,7 +144,7 @@
     const auto others = std::count_if(m_members.begin(), m_members.end(), [&](const auto &item) {
         const consensus::ReplicaId replica(item.second.presence.replica);
         return item.first != instance && !replica.empty() && isServing(now, replica)
-               && !m_state.retiring().contains(item.first);
+               && !m_state.retiring().contains(item.first) && !m_openRetirements.contains(item.first);
     });
     return static_cast<std::size_t>(others) >= requiredVoters();
 }
@@ -183,7 +183,11 @@
     command->retiring = std::make_unique<fb::SetRetiringT>();
     command->retiring->instance = instance->value;
     command->retiring->retiring = true;
-    propose(std::move(command), true, commitAnswer(token));
+    m_openRetirements.insert(*instance);
+    propose(std::move(command), true, [this, token, id = *instance](TimePoint at, bool committed) {
+        m_openRetirements.erase(id);
+        commitAnswer(token)(at, committed);
+    });
 }
 
 auto ControlNode::isKnownDomain(const FailureDomainId &domain) const -> bool
@@ -252,7 +256,7 @@
         m_output.answers.push_back(std::move(answer));
         return;
     }
-    const auto &group = m_replica.configuration();
+    const auto &group = m_committedGroup;
     const auto isOn = [&](const auto &replica) { return instanceOf(replica) == *instance; };
     const auto hostsReplica = std::any_of(group.voters.begin(), group.voters.end(), isOn)
                               || std::any_of(group.learners.begin(), group.learners.end(), isOn);
--- a/libs/fleet/test/control_members_test.cpp
+++ b/libs/fleet/test/control_members_test.cpp
@@ -62,6 +62,43 @@
     BOOST_TEST((fleet.answer(token)->status == CallStatus::Conflict));
 }
 
+// Guards against two retirements that are each judged by a state without the other one.
+BOOST_AUTO_TEST_CASE(refusesASecondRetirementWhileTheFirstIsOnItsWayToTheLog)
+{
+    Fleet fleet;
+    fleet.start("10.0.0.7", "10.0.0.7~x", {});
+    const auto leader = fleet.waitForLeader();
+    fleet.run(2s);
+    const auto first = fleet.nextToken();
+    const auto second = fleet.nextToken();
+    fleet.node(leader).startRetiring(fleet.now(), first, "node-10.0.0.2");
+    fleet.node(leader).startRetiring(fleet.now(), second, "node-10.0.0.3");
+    fleet.run(100ms);
+    BOOST_TEST((fleet.answer(first)->status == CallStatus::Done));
+    BOOST_TEST((fleet.answer(second)->status == CallStatus::Conflict));
+}
+
+// Guards against a retirement that is called complete while its last step may still be lost.
+BOOST_AUTO_TEST_CASE(aRetirementHasSucceededOnlyOnceTheRemovalIsCommitted)
+{
+    Fleet fleet;
+    fleet.start("10.0.0.7", "10.0.0.7~x", {});
+    const auto leader = fleet.waitForLeader();
+    fleet.run(2s);
+    const std::string target = leader == "10.0.0.1" ? "10.0.0.2" : "10.0.0.1";
+    const ReplicaId replica(target);
+    fleet.node(leader).startRetiring(fleet.now(), fleet.nextToken(), "node-" + target);
+    const auto &group = fleet.node(leader).replica();
+    while (group.configuration().isVoter(replica))
+        fleet.run(5ms);
+    const auto removal = group.lastIndex();
+    BOOST_TEST_REQUIRE(group.commitIndex() < removal);
+    const auto token = fleet.nextToken();
+    fleet.node(leader).readRetiring(fleet.now(), token, "node-" + target);
+    fleet.run(5ms);
+    BOOST_TEST((fleet.answer(token)->retire == RetireState::Running));
+}
+
 BOOST_AUTO_TEST_CASE(retiresAnInstanceThatAnotherCanReplace)
 {
     Fleet fleet;
