Record a stream only with a version at which it can run

Cause: the place that was taken back was still recorded as the stream's version. Evidence: stream_recorded names it 107 ms after attempt_kept; the stream is then resumed at its version. Ruled out: an unknown origin (origin=one), a grant used late. Now a replacement is asked for at the version that runs, so that no order of messages makes the record wrong; a withdrawn placement is neither recorded nor granted; and an answer to an earlier ask is ignored.

Before, asksForAReplacementOnlyAtTheVersionThatRuns, neitherRecordsNorGrantsAPlacementThatWasTakenBackAtOnce and recordsTheVersionAgainIfAnotherRecordIsOnItsWay failed; after, they pass.

--- a/libs/fleet/include/heathergate/fleet/control_node.h
+++ b/libs/fleet/include/heathergate/fleet/control_node.h
@@ -217,6 +217,8 @@
         /// The request may have been sent to an upstream, so that only its gateway can settle it.
         bool hasBeenSent = false;
         std::optional<Placement> placement;
+        /// The last place that its gateway has asked for.
+        std::uint32_t ask = 0;
         /// The stream that the request begins or resumes; 0 if it is none.
         StreamId stream = 0;
         /// The log does not hold yet which software version runs the stream.
@@ -343,6 +345,9 @@
     /// Records which software version runs a stream, if that is needed to resume it. Its slot is
     /// granted once the record is committed.
     auto recordStream(TimePoint now, RequestId request, AdmissionState &state) -> void;
+    /// Forgets the placement of a request whose gateway has ended its attempt or does not want it
+    /// any more, so that it is not granted once its records are committed.
+    auto withdrawPlacement(RequestId request) -> void;
     auto grantIfReady(TimePoint now, RequestId request, AdmissionState &state) -> void;
     auto refuse(TimePoint now, const InstanceId &gateway, RequestId request, Code code,
                 Duration retryAfter) -> void;
--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -312,6 +312,8 @@
         /// The only upstream at which the request may be retried.
         std::optional<UpstreamId> pinnedUpstream;
         bool admittedBefore = false;
+        /// Number of places that were asked for. An answer to an earlier ask is not valid any more.
+        std::uint32_t asks = 0;
         /// The upstream is silent and the leader was asked for a place at another one. The attempt
         /// goes on until that place is granted, because the upstream may answer first.
         bool seeksReplacement = false;
@@ -325,6 +327,9 @@
     [[nodiscard]] auto openCall(TimePoint now, const CallerRequest &request) -> Result<Call>;
     [[nodiscard]] auto pickService(const Route &route) -> ServiceId;
     auto submit(TimePoint now, Call &call) -> void;
+    /// Returns whether the leader's answer belongs to an earlier ask than the last one: it was on
+    /// its way when that ask was taken back.
+    [[nodiscard]] auto isOvertaken(TimePoint now, const Call &call, std::uint32_t ask) -> bool;
     [[nodiscard]] auto admissionOf(TimePoint now, const Call &call) const -> fb::AdmissionT;
     auto startAttempt(TimePoint now, Call &call, const Endpoint &address) -> void;
     /// Reports the rate that the head of a response states, or that it states none any more.
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -88,6 +88,7 @@
         state.stream = message.stream;
         state.admittedAt = now;
     }
+    state.ask = message.ask;
     if (!message.runningAt.empty()) {
         state.reserved = true;
         state.hasBeenSent = true;
@@ -251,9 +252,13 @@
         return;
     const auto service = upstream->second.service;
     const auto version = placement.softwareVersion;
-    if (m_state.streams().isRecorded(state.stream, service, version))
+    const std::pair record(state.stream, service);
+    // A record of another version may be on its way to the log, and would replace the applied one.
+    if (!m_openStreamRecords.contains(record)
+        && m_state.streams().isRecorded(state.stream, service, version))
         return;
     state.awaitsRecord = true;
+    m_openStreamRecords.insert(record);
     m_log.add(now, LogImportance::Routine, "admission", "stream_recorded",
               {{"admission", request},
                {"stream", state.stream},
@@ -265,7 +270,9 @@
     command->stream->stream = state.stream;
     command->stream->service = service.value;
     command->stream->softwareVersion = version;
-    propose(std::move(command), true, [this, request, version](TimePoint at, bool committed) {
+    const auto settled = [this, request, version, record](TimePoint at, bool committed) {
+        if (const auto open = m_openStreamRecords.find(record); open != m_openStreamRecords.end())
+            m_openStreamRecords.erase(open);
         const auto found = m_admissions.find(request);
         if (found == m_admissions.end() || !found->second.awaitsRecord)
             return;
@@ -277,7 +284,8 @@
             return recordStream(at, request, found->second);
         found->second.awaitsRecord = false;
         grantIfReady(at, request, found->second);
-    });
+    };
+    propose(std::move(command), true, settled);
 }
 
 auto ControlNode::isCurrent(const Placement &placement) const -> bool
@@ -319,13 +327,22 @@
     report.first = Duration(message.first);
     m_dispatcher.finish(now, message.request, report);
     if (!message.final)
-        return;
+        return withdrawPlacement(message.request);
     // The budget is settled even if a former leader admitted the request.
     if (!message.program.empty())
         settleBudget(message.program, message.request, message.tokens);
     m_admissions.erase(message.request);
 }
 
+auto ControlNode::withdrawPlacement(RequestId request) -> void
+{
+    const auto found = m_admissions.find(request);
+    if (found == m_admissions.end())
+        return;
+    found->second.placement.reset();
+    found->second.awaitsRecord = false;
+}
+
 auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::UpstreamStatementT &message)
     -> void
 {
@@ -443,6 +460,7 @@
         return rejectStalePlacement(now, request);
     fb::GrantT grant;
     grant.request = request;
+    grant.ask = state.ask;
     grant.upstream = placement.upstream.value;
     grant.address = placement.address.text();
     grant.born = placement.startedAt.count();
@@ -465,6 +483,8 @@
                {"term", m_replica.term()}});
     fb::RefusalT refusal;
     refusal.request = request;
+    if (const auto found = m_admissions.find(request); found != m_admissions.end())
+        refusal.ask = found->second.ask;
     refusal.code = static_cast<int>(code);
     refusal.retryAfter = retryAfter.count();
     m_output.messages.push_back({gateway, PeerFrame(Message(refusal))});
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -324,6 +324,7 @@
     // Gateways resubmit their open requests to the new leader.
     rebuildDispatcher(now);
     m_admissions.clear();
+    m_openStreamRecords.clear();
     m_delayed.clear();
     m_members.clear();
     m_configurationSender = ConfigurationSender();
--- a/libs/fleet/src/dispatcher.cpp
+++ b/libs/fleet/src/dispatcher.cpp
@@ -140,6 +140,7 @@
         return;
     }
     m_slotExpiries.erase({state.work.deadline + kReportGrace, request});
+    std::erase_if(m_placements, [&](const auto &taken) { return taken.request == request; });
     const auto upstream = m_upstreams.find(*state.placedAt);
     if (upstream != m_upstreams.end()) {
         upstream->second.running.erase(request);
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -117,9 +117,19 @@
 {
     if (!call.seeksReplacement)
         call.phase = Phase::Waiting;
+    ++call.asks;
     sendToLeader(Message(admissionOf(now, call)));
 }
 
+auto Gateway::isOvertaken(TimePoint now, const Call &call, std::uint32_t ask) -> bool
+{
+    if (ask == 0 || ask == call.asks)
+        return false;
+    m_log.add(now, LogImportance::Important, "calls", "answer_overtaken",
+              {{"request", call.request.name}, {"ask", ask}, {"last", call.asks}});
+    return true;
+}
+
 auto Gateway::admissionOf(TimePoint now, const Call &call) const -> fb::AdmissionT
 {
     const auto &request = call.request;
@@ -148,11 +158,15 @@
     for (const auto &upstream : call.avoid)
         admission.avoid.push_back(upstream.value);
     admission.again = call.admittedBefore;
+    admission.ask = call.asks;
     if (call.kind == RouteKind::Stream && call.isResumable) {
         const auto isResumedByCaller = request.lastEvent || !request.resumedAttempt.empty();
         admission.stream =
             streamIdOf(call.customer, isResumedByCaller ? request.resumedAttempt : request.name);
-        admission.resumes = call.position.lastEvent() || isResumedByCaller;
+        // A silent attempt may speak while its replacement is placed and recorded. Whichever of the
+        // two goes on, the record is right, because both run the same software version.
+        admission.resumes =
+            call.position.lastEvent() || isResumedByCaller || call.seeksReplacement;
     }
     if (call.phase == Phase::Running && !call.seeksReplacement)
         admission.runningAt = call.upstream.value;
@@ -179,6 +193,8 @@
     const auto address = parseEndpoint(message.address);
     if (call != nullptr && call->phase != Phase::Waiting && !call->seeksReplacement)
         return; // It was repeated after the connection to the leader was lost, or is not needed.
+    if (call != nullptr && isOvertaken(now, *call, message.ask))
+        return;
     if (call == nullptr || !address) {
         fb::CompletionT completion;
         completion.request = message.request;
@@ -210,6 +226,8 @@
 auto Gateway::handle(TimePoint now, const InstanceId &, fb::RefusalT &message) -> void
 {
     auto *call = byAdmission(message.request);
+    if (call != nullptr && isOvertaken(now, *call, message.ask))
+        return;
     if (call != nullptr && call->seeksReplacement) {
         call->nextReplacementAt = now + Duration(message.retryAfter);
         return keepAttempt(now, *call, "no_replacement");
--- a/libs/fleet/test/control_streams_test.cpp
+++ b/libs/fleet/test/control_streams_test.cpp
@@ -58,7 +58,7 @@
 
     auto send(const fb::AdmissionT &admission) -> void
     {
-        fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(admission)));
+        deliver(Message(admission));
         fleet.run(60ms);
     }
 
@@ -73,20 +73,42 @@
         return std::to_string(std::get<fb::RefusalT>(answers.front()).code);
     }
 
-    /// Reports that an attempt failed, and asks for another upstream.
-    auto retry(fb::AdmissionT &admission, bool resumes, const std::vector<std::string> &avoid)
-        -> std::string
+    auto deliver(Message message) -> void
+    {
+        fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(std::move(message)));
+    }
+
+    /// Ends the placement of a request.
+    auto complete(fb::AdmissionT &admission, AttemptOutcome outcome) -> void
     {
         fb::CompletionT completion;
         completion.request = admission.request;
-        completion.ending = static_cast<std::uint8_t>(AttemptOutcome::Broken);
-        fleet.node(leader).receive(fleet.now(), InstanceId("g"), PeerFrame(Message(completion)));
+        completion.ending = static_cast<std::uint8_t>(outcome);
+        deliver(Message(completion));
         admission.again = true;
+    }
+
+    /// Reports that an attempt failed, and asks for another upstream.
+    auto retry(fb::AdmissionT &admission, bool resumes, const std::vector<std::string> &avoid)
+        -> std::string
+    {
+        complete(admission, AttemptOutcome::Broken);
         admission.resumes = resumes;
         admission.avoid = avoid;
         return ask(admission);
     }
 
+    /// Takes the request for a place back and asks for another upstream, without waiting.
+    auto takeBack(fb::AdmissionT &admission, bool resumes, const std::vector<std::string> &avoid)
+        -> void
+    {
+        complete(admission, AttemptOutcome::Cancelled);
+        ++admission.ask;
+        admission.resumes = resumes;
+        admission.avoid = avoid;
+        deliver(Message(admission));
+    }
+
     auto begin(StreamId stream, const std::string &avoid = {}) -> std::string
     {
         return ask(request(stream, false, avoid));
@@ -192,6 +214,39 @@
     BOOST_TEST(retry(admission, true, {first, second}) == kVersionGone);
 }
 
+// Guards against the record of a placement that was taken back in the round in which it was made.
+BOOST_AUTO_TEST_CASE(neitherRecordsNorGrantsAPlacementThatWasTakenBackAtOnce)
+{
+    add("new", "v2", 2, 9001);
+    auto admission = request(kStream, false, "new");
+    BOOST_TEST(ask(admission) == "old");
+    takeBack(admission, false, {"old"});
+    takeBack(admission, false, {"new"});
+    fleet.run(60ms);
+    const auto answers = fleet.sentTo("g");
+    BOOST_TEST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST(std::get<fb::GrantT>(answers[0]).upstream == "old");
+    BOOST_TEST(std::get<fb::GrantT>(answers[0]).ask == admission.ask);
+    BOOST_TEST(resume(kStream) == "old");
+}
+
+// Guards against a record of a placement that was taken back while it was on its way to the log,
+// and that replaces the record of the version that runs the stream.
+BOOST_AUTO_TEST_CASE(recordsTheVersionAgainIfAnotherRecordIsOnItsWay)
+{
+    add("new", "v2", 2, 9001);
+    auto admission = request(kStream, false, "new");
+    BOOST_TEST(ask(admission) == "old");
+    takeBack(admission, false, {"old"});
+    fleet.run(5ms);
+    takeBack(admission, false, {"new"});
+    fleet.run(60ms);
+    const auto answers = fleet.sentTo("g");
+    BOOST_TEST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST(std::get<fb::GrantT>(answers[0]).upstream == "old");
+    BOOST_TEST(resume(kStream) == "old");
+}
+
 BOOST_AUTO_TEST_CASE(mayChangeTheVersionBeforeTheFirstEvent)
 {
     add("new", "v2", 2, 9001);
--- a/libs/fleet/test/gateway_fixture.h
+++ b/libs/fleet/test/gateway_fixture.h
@@ -110,10 +110,11 @@
     }
 
     auto grantRequest(std::uint64_t admission, const std::string &upstream, std::int64_t born,
-                      bool isLimited = false) -> void
+                      bool isLimited = false, std::uint32_t ask = 0) -> void
     {
         fb::GrantT message;
         message.request = admission;
+        message.ask = ask;
         message.upstream = upstream;
         message.address = "127.0.0.1:9000";
         message.born = born;
--- a/libs/fleet/test/gateway_test.cpp
+++ b/libs/fleet/test/gateway_test.cpp
@@ -271,6 +271,36 @@
 
 } // namespace
 
+BOOST_FIXTURE_TEST_SUITE(WhenAnUpstreamIsSilentBeforeTheFirstEvent, ConnectedFixture)
+
+// Guards against a stream that is recorded with the software version of a replacement, and then
+// goes on at that version although the silent upstream has spoken first (review case 7).
+BOOST_AUTO_TEST_CASE(asksForAReplacementOnlyAtTheVersionThatRuns)
+{
+    request("/stream/x");
+    grant("u");
+    for (int i = 0; i < 8; ++i) {
+        feed(kLeader, 1, 0);
+        advance(100ms);
+    }
+    const auto replacement = take<fb::AdmissionT>();
+    BOOST_TEST_REQUIRE(replacement.size() == 1U);
+    BOOST_TEST(replacement[0].runningAt == "");
+    BOOST_TEST(replacement[0].resumes);
+}
+
+BOOST_AUTO_TEST_CASE(mayChangeTheVersionOnceTheAttemptHasFailed)
+{
+    request("/stream/x");
+    const auto attempt = grant("u").attempt;
+    m_gateway.attemptEnd(m_now, attempt, {false, true, true});
+    const auto next = take<fb::AdmissionT>();
+    BOOST_TEST_REQUIRE(next.size() == 1U);
+    BOOST_TEST(!next[0].resumes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(WhenAnUpstreamIsSilentInTheMiddleOfAStream, SilentFixture)
 
 // Guards against a stream that is cut because a sound upstream was silent for a second.
@@ -318,6 +348,28 @@
     BOOST_TEST(take<EndResponse>().size() == 1U);
 }
 
+// Guards against an answer to a place that was taken back, which is taken for one to the next ask.
+BOOST_AUTO_TEST_CASE(ignoresAnAnswerThatItsWithdrawalHasCrossed)
+{
+    const auto request = admission[0].request;
+    m_gateway.attemptData(m_now, attempt, "id: 2\ndata: b\n\n");
+    m_gateway.attemptEnd(m_now, attempt, {false, true, true});
+    const auto asked = take<fb::AdmissionT>();
+    BOOST_TEST(asked.back().ask == admission[0].ask + 1);
+    grantRequest(request, "v", 1, false, admission[0].ask);
+    fb::RefusalT refusal;
+    refusal.request = request;
+    refusal.code = static_cast<int>(Code::NoUpstream);
+    refusal.ask = admission[0].ask;
+    m_gateway.receive(m_now, kLeader, PeerFrame(Message(refusal)));
+    BOOST_TEST(take<StartAttempt>().empty());
+    BOOST_TEST(take<EndResponse>().empty());
+    grantRequest(request, "w", 1, false, asked.back().ask);
+    const auto started = take<StartAttempt>();
+    BOOST_TEST_REQUIRE(started.size() == 1U);
+    BOOST_TEST(started[0].upstream.value == "w");
+}
+
 BOOST_AUTO_TEST_CASE(asksANewLeaderForTheReplacement)
 {
     feed(InstanceId("10.0.0.2"), 2, 0);
