Let no heartbeat without a claim displace an upstream, and give displaced ones their record back

Cause: whoever reported an address or identifier last had it, and heartbeats of the displaced one counted as outdated for good. Evidence: the line replaced, and no registered after it. Ruled out: the dispatcher takes it for silent. Now a service that the configuration does not have displaces none that it has, and an upstream that goes on for 4 s while the holder of its record is silent has it back.

--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -306,8 +306,19 @@
         m_output.answers.push_back(std::move(answer));
         return;
     }
-    const auto decision = m_upstreams.decide(m_state, record);
-    if (decision.kind == HeartbeatDecision::Kind::Outdated) {
+    using Kind = HeartbeatDecision::Kind;
+    const auto decision = m_upstreams.decide(now, m_state, record);
+    if (decision.kind == Kind::NoClaim) {
+        m_log.add(now, LogImportance::Important, "upstreams", "heartbeat_without_claim",
+                  {{"upstream", record.id.value},
+                   {"service", record.service.value},
+                   {"address", record.address.text()},
+                   {"holder", decision.holder.value}});
+        answer.status = CallStatus::Conflict;
+        answer.detail = "the configuration does not have the service, and another upstream has the "
+                        "identifier or address";
+    }
+    if (decision.kind == Kind::Outdated || decision.kind == Kind::NoClaim) {
         m_output.answers.push_back(std::move(answer));
         return;
     }
@@ -315,15 +326,17 @@
         other.phase = UpstreamPhase::Removed;
         setUpstream(now, other, "replaced", {});
     }
-    if (decision.kind == HeartbeatDecision::Kind::Unchanged
+    if (decision.kind == Kind::Unchanged
         || (decision.replaced.empty() && isOvertaken(record))) {
         m_dispatcher.heartbeat(now, record.id, report.coldRemaining);
         m_output.answers.push_back(std::move(answer));
         return;
     }
-    const auto isDraining = record.phase == UpstreamPhase::Draining;
+    std::string_view why = decision.kind == Kind::Reclaimed ? "reclaimed" : "registered";
+    if (record.phase == UpstreamPhase::Draining)
+        why = "draining";
     setUpstream(
-        now, record, isDraining ? "draining" : "registered",
+        now, record, why,
         [this, token, id = record.id, cold = report.coldRemaining](TimePoint at, bool committed) {
             if (committed)
                 m_dispatcher.heartbeat(at, id, cold);
--- a/libs/fleet/src/upstream_registry.cpp
+++ b/libs/fleet/src/upstream_registry.cpp
@@ -13,25 +13,79 @@
            && left.startedAt == right.startedAt && left.softwareVersion == right.softwareVersion;
 }
 
+/// Returns whether the configuration has the service of an upstream.
+auto hasService(const FleetState &state, const UpstreamRecord &record) -> bool
+{
+    return state.configuration().service(record.service) != nullptr;
+}
+
 } // namespace
 
-auto UpstreamRegistry::decide(const FleetState &state, const UpstreamRecord &heartbeat)
-    -> HeartbeatDecision
+auto UpstreamRegistry::decide(TimePoint now, const FleetState &state,
+                              const UpstreamRecord &heartbeat) -> HeartbeatDecision
 {
     const auto *known = recordOf(state, heartbeat.id);
-    if (known != nullptr && isOutdated(*known, heartbeat))
-        return {HeartbeatDecision::Kind::Outdated};
     auto others = othersAtAddress(state, heartbeat);
-    const auto isNewer = [&](const auto &other) { return other.startedAt > heartbeat.startedAt; };
-    if (std::any_of(others.begin(), others.end(), isNewer))
-        return {HeartbeatDecision::Kind::Outdated};
+    auto ignored = ignores(state, known, others, heartbeat);
+    if (ignored && !reclaims(now, heartbeat, ignored->holder))
+        return std::move(*ignored);
+    m_ignored.erase(heartbeat.id);
     m_lastSequence[heartbeat.id] = heartbeat.sequence;
+    m_acceptedAt[heartbeat.id] = now;
+    if (ignored)
+        return {HeartbeatDecision::Kind::Reclaimed, std::move(others)};
     const auto isUnchanged = known != nullptr && others.empty() && !isProposed(heartbeat.id)
                              && sameUpstream(*known, heartbeat);
     return {isUnchanged ? HeartbeatDecision::Kind::Unchanged : HeartbeatDecision::Kind::Changed,
             std::move(others)};
 }
 
+auto UpstreamRegistry::ignores(const FleetState &state, const UpstreamRecord *known,
+                               const std::vector<UpstreamRecord> &others,
+                               const UpstreamRecord &heartbeat) const
+    -> std::optional<HeartbeatDecision>
+{
+    using Kind = HeartbeatDecision::Kind;
+    const auto isNamed = hasService(state, heartbeat);
+    const auto outranks = [&](const UpstreamRecord &holder) {
+        return !isNamed && holder.phase != UpstreamPhase::Removed && hasService(state, holder);
+    };
+    const auto yields = [&](const UpstreamRecord &holder) {
+        return isNamed && !hasService(state, holder);
+    };
+    if (known != nullptr && outranks(*known))
+        return HeartbeatDecision{Kind::NoClaim, {}, known->id};
+    for (const auto &other : others) {
+        if (outranks(other))
+            return HeartbeatDecision{Kind::NoClaim, {}, other.id};
+        if (other.startedAt > heartbeat.startedAt && !yields(other))
+            return HeartbeatDecision{Kind::Outdated, {}, other.id};
+    }
+    if (known != nullptr && !yields(*known) && isOutdated(*known, heartbeat))
+        return HeartbeatDecision{
+            Kind::Outdated, {}, known->phase == UpstreamPhase::Removed ? UpstreamId() : known->id};
+    return std::nullopt;
+}
+
+auto UpstreamRegistry::reclaims(TimePoint now, const UpstreamRecord &heartbeat,
+                                const UpstreamId &holder) -> bool
+{
+    if (holder.empty())
+        return false;
+    std::erase_if(m_ignored,
+                  [&](const auto &item) { return now - item.second.lastAt > kReclaimTime; });
+    auto &sender = m_ignored[heartbeat.id];
+    const auto accepted = m_acceptedAt.find(holder);
+    const auto heardHolder = accepted != m_acceptedAt.end() && accepted->second >= sender.since;
+    const auto goesOn = sender.startedAt == heartbeat.startedAt && !heardHolder
+                        && heartbeat.sequence > sender.lastSequence;
+    if (!goesOn)
+        sender = {heartbeat.startedAt, now, now, heartbeat.sequence};
+    sender.lastAt = now;
+    sender.lastSequence = heartbeat.sequence;
+    return heartbeat.phase == UpstreamPhase::Ready && now - sender.since >= kReclaimTime;
+}
+
 auto UpstreamRegistry::recordOf(const FleetState &state, const UpstreamId &id) const
     -> const UpstreamRecord *
 {
--- a/libs/fleet/test/control_fleet.h
+++ b/libs/fleet/test/control_fleet.h
@@ -200,6 +200,18 @@
         return m_lastToken;
     }
 
+    /// Stores a configuration with these services and waits until it is in force.
+    auto putServices(const std::string &name, std::uint64_t version,
+                     const std::vector<std::string> &services) -> void
+    {
+        Configuration configuration;
+        configuration.version = version;
+        for (const auto &service : services)
+            configuration.services.push_back({ServiceId(service), 10, std::nullopt});
+        node(name).putConfiguration(m_now, ++m_lastToken, configuration, std::to_string(version));
+        run(50ms);
+    }
+
     /// Returns the answer to a call; nothing while the call is open.
     [[nodiscard]] auto answer(CallToken token) -> std::optional<CallAnswer>
     {
