End an attempt at once whose response has no valid status

Cause: http_parser takes any number up to 999 for a status, and what is below 200 counted as interim; serve passed on what libcurl lets through. Now statusOf decides for both clients, and such a response counts as broken and as possibly run.

--- a/libs/core/include/heathergate/core/core.h
+++ b/libs/core/include/heathergate/core/core.h
@@ -11,4 +11,5 @@
 #include <heathergate/core/random.h>
 #include <heathergate/core/result.h>
 #include <heathergate/core/ring.h>
+#include <heathergate/core/status_line.h>
 #include <heathergate/core/time.h>
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cctype>
 #include <curl/curl.h>
+#include <heathergate/core/status_line.h>
 #include <thread>
 #include <unordered_map>
 
@@ -23,6 +24,9 @@
     std::uint64_t id = 0;
 };
 
+/// Result of a callback that makes libcurl end the transfer.
+constexpr std::size_t kAbort = 0;
+
 using Command = std::variant<std::monostate, Outgoing, Cancel>;
 
 /// A request that libcurl is executing.
@@ -65,10 +69,9 @@
         // Discards the head of an interim response.
         transfer.head = {};
         transfer.headIsWhole = false;
-        const auto space = line.find(' ');
-        if (space != std::string::npos)
-            transfer.head.status = std::atoi(line.c_str() + space + 1);
-        return size * count;
+        const auto status = statusOf(line);
+        transfer.head.status = status.value_or(0);
+        return status ? size * count : kAbort;
     }
     if (line.empty())
         transfer.headIsWhole = true;
--- a/libs/net/include/heathergate/net/http_parser.h
+++ b/libs/net/include/heathergate/net/http_parser.h
@@ -127,12 +127,17 @@
     static auto self(http_parser *parser) -> HttpParser &;
     static auto settings() -> const http_parser_settings &;
     auto headComplete() -> int;
+    /// Takes the start of the status line from the next bytes of a response. Returns whether it can
+    /// still be a valid one.
+    [[nodiscard]] auto checkStatusLine(std::string_view bytes) -> bool;
 
     http_parser m_parser{};
     http_parser_type m_type;
     std::size_t m_maxHeadBytes;
     Handlers m_handlers;
     HttpHead m_head;
+    /// The start of the status line of a response, as far as it was read.
+    std::string m_statusLine;
     bool m_inValue = false;
     bool m_begun = false;
     bool m_headDone = false;
--- a/libs/net/src/http_parser.cpp
+++ b/libs/net/src/http_parser.cpp
@@ -1,5 +1,7 @@
 #include <heathergate/net/http_parser.h>
 
+#include <heathergate/core/status_line.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -67,6 +69,7 @@
     http_parser_init(&m_parser, m_type);
     m_parser.data = this;
     m_head = HttpHead();
+    m_statusLine.clear();
     m_tooLong = false;
     m_inValue = false;
     m_begun = false;
@@ -128,10 +131,15 @@
     constexpr std::uint64_t kUnknownLength = ~std::uint64_t{0};
     m_headDone = true;
     m_inValue = false;
-    if (m_type == HTTP_REQUEST)
+    if (m_type == HTTP_REQUEST) {
         m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
-    else
-        m_head.status = m_parser.status_code;
+    } else {
+        // The parser accepts any number of digits, and any number that they give.
+        const auto status = statusOf(m_statusLine);
+        if (!status)
+            return -1;
+        m_head.status = *status;
+    }
     m_head.chunked = (m_parser.flags & F_CHUNKED) != 0;
     if (!m_head.chunked && m_parser.content_length != kUnknownLength)
         m_head.contentLength = m_parser.content_length;
@@ -146,8 +154,18 @@
     return 0;
 }
 
+auto HttpParser::checkStatusLine(std::string_view bytes) -> bool
+{
+    if (m_type != HTTP_RESPONSE || m_statusLine.size() == kStatusLineStartBytes)
+        return true;
+    m_statusLine.append(bytes.substr(0, kStatusLineStartBytes - m_statusLine.size()));
+    return m_statusLine.size() < kStatusLineStartBytes || statusOf(m_statusLine);
+}
+
 auto HttpParser::feed(std::string_view bytes) -> Result<std::size_t>
 {
+    if (!checkStatusLine(bytes))
+        return fail(Code::BadRequest, "the status line is not valid");
     const auto used = http_parser_execute(&m_parser, &settings(), bytes.data(), bytes.size());
     if (!m_headDone && m_parser.nread > m_maxHeadBytes)
         m_tooLong = true;
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -633,6 +633,49 @@
     BOOST_TEST(!ends[0].complete);
 }
 
+// Guards against a caller that gets an answer whose status is none, or waits for another one.
+BOOST_AUTO_TEST_CASE(refusesAResponseWithoutAValidStatusAtOnce)
+{
+    for (const auto *line : {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols",
+                             "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 20 OK",
+                             "HTTP/1.1 0200 OK", "HTTP/2.0 200 OK", "HTTP/1.1 \r\n\r\n"}) {
+        for (const std::string before : {"", "HTTP/1.1 103 Early\r\n\r\n"}) {
+            BOOST_TEST_CONTEXT("after '" << before << "': " << line)
+            {
+                const auto endsBefore = ends.size();
+                sendRequest();
+                sendResponse(before + line + "\r\nId: 7\r\nContent-Length: 3\r\n\r\nabc");
+                BOOST_TEST_REQUIRE(ends.size() == endsBefore + 1);
+                BOOST_TEST(!ends.back().complete);
+                BOOST_TEST(ends.back().sent);
+                BOOST_TEST(heads.empty());
+                BOOST_TEST(body.empty());
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refusesAnInvalidStatusThatArrivesInPieces)
+{
+    sendRequest();
+    for (const auto piece : std::string("HTTP/1.1 000"))
+        accepted.back()->write(std::string(1, piece));
+    run();
+    BOOST_TEST(ends.empty());
+    sendResponse(" ");
+    BOOST_TEST_REQUIRE(ends.size() == 1U);
+    BOOST_TEST(!ends[0].complete);
+}
+
+BOOST_AUTO_TEST_CASE(acceptsAStatusWithoutAReason)
+{
+    sendRequest();
+    sendResponse("HTTP/1.1 200\r\nId: 7\r\nContent-Length: 1\r\n\r\na");
+    BOOST_TEST_REQUIRE(ends.size() == 1U);
+    BOOST_TEST(ends[0].complete);
+    BOOST_TEST(heads.at(0).status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(endsARequestWhoseResponseNeverBegins)
 {
     constexpr std::size_t kEndless = 200U * 1024 * 1024;
