Take no request late in a planned stop that could outlive it, and answer all at its end

Requests that came late in the grace period were passed on and cut at its end with no answer (LOST), also such that must run only once. Ruled out for the users' sheets: their deadlines of 3 s end before.

GatewayTest/WhenTheInstanceStops covers what is refused, taken and answered.

--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -5,6 +5,7 @@
 #include <heathergate/fleet/event_splitter.h>
 #include <heathergate/fleet/leader_link.h>
 #include <heathergate/fleet/peer_frame.h>
+#include <heathergate/fleet/planned_stop.h>
 #include <heathergate/fleet/stream_origins.h>
 #include <heathergate/fleet/stream_position.h>
 #include <heathergate/fleet/upstream_statements.h>
@@ -214,8 +215,11 @@
         m_link.addCandidates(controls);
     }
     /// Begins the shutdown of the gateway: callers are directed to other gateways, while requests
-    /// are still served.
-    auto leave(TimePoint now) -> void;
+    /// are still served, except for late ones that could outlive `stopsAt`.
+    auto leave(TimePoint now, TimePoint stopsAt) -> void;
+    /// Ends all open calls, because the process is about to end: those that have not run are
+    /// refused, the others are answered that they may have run.
+    auto endCalls(TimePoint now) -> void;
 
     [[nodiscard]] auto takeEffects() -> std::vector<GatewayEffect>
     {
@@ -359,6 +363,12 @@
     auto finish(TimePoint now, Call &call, AttemptOutcome outcome, std::string_view label) -> void;
     auto refuse(TimePoint now, Call &call, AttemptOutcome outcome, Error error) -> void;
     auto deadlinePassed(TimePoint now, Call &call) -> void;
+    /// Ends a call that cannot go on: with `notRun`, or with a timeout if it may have run.
+    auto giveUp(TimePoint now, Call &call, Error notRun) -> void;
+    [[nodiscard]] auto isLeaving() const -> bool
+    {
+        return m_stop.has_value();
+    }
     auto checkIdleTimeout(TimePoint now, Call &call) -> void;
     /// Returns the time at which the upstream of a running call counts as silent.
     [[nodiscard]] auto silentAt(const Call &call) const -> TimePoint;
@@ -416,7 +426,8 @@
     LeaderLink m_link;
     UpstreamStatements m_statements;
     history::HistoryClient m_history;
-    bool m_leaving = false;
+    /// Set once the instance has begun to stop.
+    std::optional<PlannedStop> m_stop;
     /// A completion that may not have reached the leader.
     struct SentCompletion
     {
--- a/libs/fleet/src/gateway.cpp
+++ b/libs/fleet/src/gateway.cpp
@@ -77,16 +77,30 @@
 
 auto Gateway::isReady(TimePoint now) const -> bool
 {
-    return !m_leaving && m_configuration.version() != 0
+    return !isLeaving() && m_configuration.version() != 0
            && now - m_link.lastAnswer() < kStalenessTimeout;
 }
 
-auto Gateway::leave(TimePoint now) -> void
+auto Gateway::leave(TimePoint now, TimePoint stopsAt) -> void
 {
-    m_leaving = true;
+    m_stop.emplace(now, stopsAt);
     sendPresence(now);
 }
 
+auto Gateway::endCalls(TimePoint now) -> void
+{
+    std::vector<CallerToken> tokens;
+    for (const auto &[token, call] : m_calls)
+        tokens.push_back(token);
+    for (const auto token : tokens) {
+        auto &call = m_calls.at(token);
+        if (call.phase == Phase::Storing)
+            turnStored(now, call, false);
+        else
+            giveUp(now, call, Error{Code::Draining, "the instance stops", Ran::No, {}});
+    }
+}
+
 auto Gateway::sendPresence(TimePoint now) -> void
 {
     const auto target = m_link.target(now);
@@ -99,8 +113,8 @@
     presence.name = m_settings.name;
     presence.domain = m_settings.domain.value;
     presence.address = m_settings.callerAddress;
-    presence.ready = !m_leaving && m_configuration.version() != 0;
-    presence.leaving = m_leaving;
+    presence.ready = !isLeaving() && m_configuration.version() != 0;
+    presence.leaving = isLeaving();
     presence.configurationVersion = m_configuration.version();
     presence.historyVersion = m_history.replicas().version;
     m_effects.emplace_back(PeerOut{*target, PeerFrame(Message(std::move(presence)))});
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -88,6 +88,8 @@
         call.tokensPerEvent = std::max(service->engine->tokensPerEvent, 1);
     call.arrivedAt = now;
     call.deadline = now + std::min(route->timeout, request.callerTimeout.value_or(route->timeout));
+    if (m_stop && !m_stop->takes(now, call.deadline))
+        return fail(Code::Draining, "the instance stops before the request has to end", Ran::No);
     call.startBy = call.deadline - kCallStartMargin;
     if (route->kind == RouteKind::Stream) {
         const auto abandoned = std::max({kMinAbandonTime, kAbandonLatencies * route->targetLatency,
@@ -323,13 +325,21 @@
 {
     if (call.phase == Phase::Storing)
         return turnStored(now, call, false);
+    giveUp(now, call,
+           callError(m_link.leader() ? Code::QueueFull : Code::NoQuorum,
+                     "no place was free in time", Ran::No, kNoSlotRetryAfter));
+}
+
+auto Gateway::giveUp(TimePoint now, Call &call, Error notRun) -> void
+{
     if (call.phase == Phase::Running)
         m_effects.emplace_back(CancelAttempt{call.attempt});
     const auto mayHaveRun = call.phase == Phase::Running || !call.mayHaveRunAt.empty();
-    refuse(now, call, AttemptOutcome::Cancelled,
-           mayHaveRun ? callError(Code::Timeout, "the time of the request is up", Ran::Unknown)
-                      : callError(m_link.leader() ? Code::QueueFull : Code::NoQuorum,
-                                  "no place was free in time", Ran::No, kNoSlotRetryAfter));
+    if (mayHaveRun)
+        refuse(now, call, AttemptOutcome::Cancelled,
+               callError(Code::Timeout, "the time of the request is up", Ran::Unknown));
+    else
+        refuse(now, call, AttemptOutcome::Cancelled, std::move(notRun));
 }
 
 } // namespace heathergate::fleet
--- a/libs/fleet/test/gateway_test.cpp
+++ b/libs/fleet/test/gateway_test.cpp
@@ -393,6 +393,78 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+/// A gateway that stops as planned, seven seconds after the signal. Its requests take up to 3 s.
+struct StoppingFixture : ConnectedFixture
+{
+    StoppingFixture()
+        : stopsAt(m_now + 7s)
+    {
+        m_gateway.leave(m_now, stopsAt);
+    }
+
+    auto advanceTo(TimePoint time) -> void
+    {
+        while (m_now < time) {
+            feed(kLeader, 1, 0);
+            advance(std::min<Duration>(100ms, time - m_now));
+        }
+    }
+
+    TimePoint stopsAt;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WhenTheInstanceStops, StoppingFixture)
+
+// Guards against requests that come late in the grace period and are cut off at its end.
+BOOST_AUTO_TEST_CASE(refusesARequestThatCouldOutliveIt)
+{
+    advanceTo(stopsAt - 2900ms);
+    take<fb::AdmissionT>();
+    request("/unsafe/x");
+    BOOST_TEST(take<fb::AdmissionT>().empty());
+    const auto refused = take<RefuseCaller>();
+    BOOST_TEST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST((refused[0].error.code == Code::Draining));
+    BOOST_TEST((refused[0].error.ran == Ran::No));
+    BOOST_TEST(codeInfo(Code::Draining).httpStatus == 503);
+}
+
+BOOST_AUTO_TEST_CASE(takesRequestsThatEndBeforeIt)
+{
+    advanceTo(stopsAt - 3100ms);
+    take<fb::AdmissionT>();
+    request("/unsafe/x");
+    BOOST_TEST(take<fb::AdmissionT>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(answersEveryOpenCallAtTheEnd)
+{
+    request("/unsafe/x");
+    const auto running = grant("u");
+    request("/unsafe/y");
+    request("/stream/x");
+    const auto stream = grant("v");
+    head(stream.attempt);
+    m_gateway.attemptData(m_now, stream.attempt, "id: 1\ndata: a\n\n");
+    m_gateway.endCalls(m_now);
+    const auto refused = take<RefuseCaller>();
+    BOOST_TEST_REQUIRE(refused.size() == 2U);
+    BOOST_TEST((refused[0].error.ran == Ran::Unknown));
+    BOOST_TEST(codeInfo(refused[0].error.code).httpStatus == 504);
+    BOOST_TEST((refused[1].error.ran == Ran::No));
+    const auto ended = take<EndResponse>();
+    BOOST_TEST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST(!ended[0].complete);
+    BOOST_TEST(take<CancelAttempt>().size() == 2U);
+    BOOST_TEST(m_gateway.openCalls() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(WhenTheLeaderChanges, ConnectedFixture)
 
 BOOST_AUTO_TEST_CASE(resubmitsQueuedAndRunningRequestsToTheNewLeader)
--- a/libs/node/include/heathergate/node/gateway_program.h
+++ b/libs/node/include/heathergate/node/gateway_program.h
@@ -60,6 +60,8 @@
     static constexpr Duration kDirectoryUpdateDelay = std::chrono::milliseconds(500);
     /// Time reserved for the termination of the process.
     static constexpr Duration kExitMargin = std::chrono::milliseconds(700);
+    /// Part of that time in which callers read the answers to the calls that were ended.
+    static constexpr Duration kAnswerTime = std::chrono::milliseconds(300);
 
     [[nodiscard]] auto now() -> TimePoint
     {
@@ -82,17 +84,17 @@
     auto round(TimePoint at) -> TimePoint
     {
         m_gateway.tick(at);
-        for (auto &effect : m_gateway.takeEffects()) {
-            if (auto *out = std::get_if<fleet::PeerOut>(&effect))
-                m_process.send(out->to, fleet::encodeFrame(std::move(out->frame)));
-            else
-                m_adapter.execute(effect);
-        }
+        executeEffects();
         auto next = m_gateway.nextDeadline();
         if (m_drainDeadline) {
             if (at >= *m_stopListeningAt && !std::exchange(m_listeningStopped, true))
                 m_adapter.finishDraining();
-            if (at >= *m_drainDeadline || (m_listeningStopped && m_adapter.openConnections() == 0))
+            if (at >= *m_drainDeadline && !std::exchange(m_callsEnded, true)) {
+                m_gateway.endCalls(at);
+                executeEffects();
+            }
+            if (at >= *m_drainDeadline + kAnswerTime
+                || (m_listeningStopped && m_adapter.openConnections() == 0))
                 m_process.stop(0);
             constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(50);
             next = std::min(next, at + kDrainCheckInterval);
@@ -100,12 +102,22 @@
         return next;
     }
 
+    auto executeEffects() -> void
+    {
+        for (auto &effect : m_gateway.takeEffects()) {
+            if (auto *out = std::get_if<fleet::PeerOut>(&effect))
+                m_process.send(out->to, fleet::encodeFrame(std::move(out->frame)));
+            else
+                m_adapter.execute(effect);
+        }
+    }
+
     auto beginDraining() -> void
     {
         const auto &settings = m_process.settings();
-        m_gateway.leave(now());
-        m_adapter.beginDraining();
         m_drainDeadline = now() + settings.shutdownGracePeriod - kExitMargin;
+        m_gateway.leave(now(), *m_drainDeadline);
+        m_adapter.beginDraining();
         m_stopListeningAt = std::min(*m_drainDeadline - kExitMargin,
                                      now() + kMaxCachedLifetimes * Adapter::directoryTtl(settings)
                                          + kDirectoryUpdateDelay);
@@ -116,8 +128,9 @@
     Adapter m_adapter;
     /// Time at which a draining gateway stops accepting connections.
     std::optional<TimePoint> m_stopListeningAt;
-    /// Time at which a draining gateway stops even if connections are open.
+    /// Time at which a draining gateway ends the open calls.
     std::optional<TimePoint> m_drainDeadline;
+    bool m_callsEnded = false;
     bool m_listeningStopped = false;
 };
 
