--- a/libs/fleet/test/control_fleet.h
+++ b/libs/fleet/test/control_fleet.h
@@ -86,6 +86,7 @@
     auto kill(const std::string &instance) -> void
     {
         m_nodes.erase(instance);
+        m_waitingWrites.erase(instance);
     }
 
     auto restart(const std::string &instance) -> void
@@ -139,6 +140,15 @@
             m_notCopied.erase(instance);
     }
 
+    /// Makes the disk of an instance full, so that its writes wait, or gives it room again.
+    auto setDiskFull(const std::string &instance, bool isFull) -> void
+    {
+        if (isFull)
+            m_fullDisks.insert(instance);
+        else
+            m_fullDisks.erase(instance);
+    }
+
     /// Suspends an instance while time advances; messages to it are lost.
     auto suspend(const std::string &instance) -> void
     {
@@ -268,11 +278,10 @@
             if (m_onRound)
                 m_onRound(name, *node);
             auto output = node->takeOutput(m_now);
-            for (const auto &write : output.storage) {
-                m_disks[m_replicas[name]].store(write);
-                if (const auto *item = std::get_if<storage::GroupWrite>(&write))
-                    node->synced(m_now, item->write.number);
-            }
+            auto &waiting = m_waitingWrites[name];
+            std::move(output.storage.begin(), output.storage.end(), std::back_inserter(waiting));
+            if (!m_fullDisks.contains(name))
+                storeWaiting(name, *node);
             for (auto &out : output.messages)
                 m_inTransit.emplace_back(name, out.to.value, std::move(out.frame));
             for (const auto &answer : output.answers)
@@ -280,6 +289,15 @@
         }
     }
 
+    auto storeWaiting(const std::string &name, ControlNode &node) -> void
+    {
+        for (const auto &write : std::exchange(m_waitingWrites[name], {})) {
+            m_disks[m_replicas[name]].store(write);
+            if (const auto *item = std::get_if<storage::GroupWrite>(&write))
+                node.synced(m_now, item->write.number);
+        }
+    }
+
     /// Simulates history replicas that have copied everything, except for the chosen ones.
     auto reportHistories(const std::string &instance, ControlNode &node) -> void
     {
@@ -305,6 +323,8 @@
     std::map<std::string, std::vector<Message>> m_externalMessages;
     std::map<CallToken, CallAnswer> m_answers;
     std::function<void(const std::string &, ControlNode &)> m_onRound;
+    std::map<std::string, std::vector<storage::StorageStep>> m_waitingWrites;
+    std::set<std::string> m_fullDisks;
     std::set<std::string> m_isolated;
     std::set<std::string> m_notCopied;
     std::set<std::string> m_suspended;
--- a/libs/fleet/test/control_node_test.cpp
+++ b/libs/fleet/test/control_node_test.cpp
@@ -157,6 +157,61 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenDisksAreFullOneAfterAnother)
+
+// Guards against changes that are refused long after the last disk has room again.
+BOOST_AUTO_TEST_CASE(acknowledgesChangesMeanwhileAndLongAfter)
+{
+    Fleet fleet;
+    fleet.waitForLeader();
+    std::uint64_t version = 0;
+    const auto change = [&](Duration length) {
+        for (const auto end = fleet.now() + length; fleet.now() < end;) {
+            ++version;
+            const auto token = fleet.put(fleet.waitForLeader(), version, std::to_string(version));
+            fleet.run(100ms);
+            BOOST_TEST_REQUIRE(fleet.answer(token).has_value());
+            BOOST_TEST((fleet.answer(token)->status == CallStatus::Done));
+        }
+    };
+    for (const auto *name : {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.2", "10.0.0.1"}) {
+        fleet.setDiskFull(name, true);
+        change(3s);
+        fleet.setDiskFull(name, false);
+        fleet.run(500ms);
+    }
+    change(10s);
+    for (const auto *name : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
+        fleet.kill(name);
+        fleet.restart(name);
+    }
+    fleet.run(5s);
+    BOOST_TEST(fleet.read(fleet.waitForLeader()).document == std::to_string(version));
+}
+
+// Guards against a term that only a full disk keeps from being recorded.
+BOOST_AUTO_TEST_CASE(electsALeaderWhileTheDiskOfAFollowerIsFull)
+{
+    Fleet fleet;
+    const auto first = fleet.waitForLeader();
+    const std::string full = first == "10.0.0.1" ? "10.0.0.2" : "10.0.0.1";
+    fleet.setDiskFull(full, true);
+    fleet.run(1s);
+    fleet.kill(first);
+    fleet.run(3s);
+    // With one instance down and one that can store no vote there is no majority.
+    BOOST_TEST(fleet.leader().empty());
+    fleet.setDiskFull(full, false);
+    BOOST_TEST(!fleet.waitForLeader().empty());
+    fleet.restart(first);
+    fleet.run(2s);
+    const auto token = fleet.put(fleet.waitForLeader(), 1, "one");
+    fleet.run(200ms);
+    BOOST_TEST((fleet.answer(token)->status == CallStatus::Done));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAllInstancesRestart)
 
 namespace {
