--- a/libs/core/src/status_line.cpp
+++ b/libs/core/src/status_line.cpp
@@ -43,8 +43,8 @@
         return std::nullopt;
     const auto digits = line.substr(0, kStatusDigits);
     const auto rest = line.substr(kStatusDigits);
-    const auto endsThere = rest.empty() || rest.front() == ' ' || rest.front() == '\r'
-                           || rest.front() == '\n';
+    const auto endsThere =
+        rest.empty() || rest.front() == ' ' || rest.front() == '\r' || rest.front() == '\n';
     if (!endsThere || !std::all_of(digits.begin(), digits.end(), isDigit))
         return std::nullopt;
     int status = 0;
--- a/libs/fleet/include/heathergate/fleet/upstream_registry.h
+++ b/libs/fleet/include/heathergate/fleet/upstream_registry.h
@@ -36,10 +36,11 @@
 /// the end of the log: a proposed record counts before it is applied, because whatever is proposed
 /// after it takes effect after it.
 ///
-/// A heartbeat may come from another writer than an upstream, and take the identifier or the address
-/// of a sound one. One of a service that the configuration does not have displaces nothing that the
-/// configuration names. One that names a service cannot be told from a sound one; the upstream that
-/// it displaces gets its record back by going on with its heartbeats while the other is silent.
+/// A heartbeat may come from another writer than an upstream, and take the identifier or the
+/// address of a sound one. One of a service that the configuration does not have displaces nothing
+/// that the configuration names. One that names a service cannot be told from a sound one; the
+/// upstream that it displaces gets its record back by going on with its heartbeats while the other
+/// is silent.
 class UpstreamRegistry
 {
 public:
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -223,71 +223,6 @@
     m_dispatcher.submit(now, std::move(work));
 }
 
-auto ControlNode::originOf(TimePoint now, const fb::AdmissionT &message) -> StreamOrigin
-{
-    if (!message.resumes)
-        return {};
-    auto origin = m_state.streams().originOf(m_replica.groupTime(now), message.stream,
-                                             ServiceId(message.service));
-    m_metrics.count("heathergate_streams_resumed_total",
-                    {{"origin", std::string(originText(origin.kind))}});
-    m_log.add(now, LogImportance::Important, "admission", "stream_resumed",
-              {{"admission", message.request},
-               {"stream", message.stream},
-               {"service", message.service},
-               {"origin", originText(origin.kind)},
-               {"software", origin.version},
-               {"recorded", m_state.streams().size()},
-               {"term", m_replica.term()}});
-    return origin;
-}
-
-auto ControlNode::recordStream(TimePoint now, RequestId request, AdmissionState &state) -> void
-{
-    const auto &placement = *state.placement;
-    const auto upstream = m_state.upstreams().find(placement.upstream);
-    state.awaitsRecord = false;
-    if (state.stream == 0 || upstream == m_state.upstreams().end()
-        || !m_state.streams().isRecording(m_replica.groupTime(now)))
-        return;
-    const auto service = upstream->second.service;
-    const auto version = placement.softwareVersion;
-    const std::pair record(state.stream, service);
-    // A record of another version may be on its way to the log, and would replace the applied one.
-    if (!m_openStreamRecords.contains(record)
-        && m_state.streams().isRecorded(state.stream, service, version))
-        return;
-    state.awaitsRecord = true;
-    m_openStreamRecords.insert(record);
-    m_log.add(now, LogImportance::Routine, "admission", "stream_recorded",
-              {{"admission", request},
-               {"stream", state.stream},
-               {"upstream", placement.upstream.value},
-               {"software", version},
-               {"term", m_replica.term()}});
-    auto command = std::make_unique<fb::CommandT>();
-    command->stream = std::make_unique<fb::RecordStreamT>();
-    command->stream->stream = state.stream;
-    command->stream->service = service.value;
-    command->stream->softwareVersion = version;
-    const auto settled = [this, request, version, record](TimePoint at, bool committed) {
-        if (const auto open = m_openStreamRecords.find(record); open != m_openStreamRecords.end())
-            m_openStreamRecords.erase(open);
-        const auto found = m_admissions.find(request);
-        if (found == m_admissions.end() || !found->second.awaitsRecord)
-            return;
-        // A later placement of the request waits for its own record.
-        const auto &current = found->second.placement;
-        if (!current || current->softwareVersion != version)
-            return;
-        if (!committed)
-            return recordStream(at, request, found->second);
-        found->second.awaitsRecord = false;
-        grantIfReady(at, request, found->second);
-    };
-    propose(std::move(command), true, settled);
-}
-
 auto ControlNode::isCurrent(const Placement &placement) const -> bool
 {
     const auto upstream = m_state.upstreams().find(placement.upstream);
@@ -334,63 +269,6 @@
     m_admissions.erase(message.request);
 }
 
-auto ControlNode::withdrawPlacement(RequestId request) -> void
-{
-    const auto found = m_admissions.find(request);
-    if (found == m_admissions.end())
-        return;
-    found->second.placement.reset();
-    found->second.awaitsRecord = false;
-}
-
-auto ControlNode::handle(TimePoint now, const InstanceId &from, fb::UpstreamStatementT &message)
-    -> void
-{
-    if (!isLeader(now))
-        return redirect(from);
-    const UpstreamId upstream(message.upstream);
-    if (message.leaving)
-        return retireUpstream(now, from, message);
-    const auto hasChanged =
-        message.rate ? m_dispatcher.limit(now, upstream, std::chrono::milliseconds(message.born),
-                                          *message.rate)
-                     : m_dispatcher.lift(now, message.request);
-    if (!hasChanged)
-        return;
-    m_metrics.count("heathergate_upstream_limit_changes_total", {});
-    m_log.add(now, LogImportance::Important, "upstreams",
-              message.rate ? "limit_stated" : "limit_lifted",
-              {{"upstream", message.upstream},
-               {"rate", message.rate ? std::to_string(*message.rate) : "none"},
-               {"gateway", from.value},
-               {"admission", message.request},
-               {"born", message.born},
-               {"term", m_replica.term()}});
-}
-
-auto ControlNode::retireUpstream(TimePoint now, const InstanceId &from,
-                                 const fb::UpstreamStatementT &message) -> void
-{
-    const UpstreamId upstream(message.upstream);
-    if (!m_dispatcher.retire(now, upstream, std::chrono::milliseconds(message.born)))
-        return;
-    m_metrics.count("heathergate_upstreams_leaving_total", {});
-    m_log.add(now, LogImportance::Important, "upstreams", "leaving_stated",
-              {{"upstream", message.upstream},
-               {"gateway", from.value},
-               {"admission", message.request},
-               {"born", message.born},
-               {"term", m_replica.term()}});
-    // A later incarnation may be on its way to the log.
-    const auto *known = m_upstreams.recordOf(m_state, upstream);
-    if (known == nullptr || known->phase != UpstreamPhase::Ready
-        || known->startedAt != std::chrono::milliseconds(message.born))
-        return;
-    auto record = *known;
-    record.phase = UpstreamPhase::Draining;
-    setUpstream(now, record, "draining", {});
-}
-
 auto ControlNode::restoreFailures(TimePoint now) -> void
 {
     const auto groupNow = m_replica.groupTime(now);
--- a/libs/fleet/src/control_calls.cpp
+++ b/libs/fleet/src/control_calls.cpp
@@ -1,6 +1,6 @@
 #include <heathergate/fleet/control_node.h>
 
-/// Calls of operators and upstreams.
+/// Calls of operators.
 namespace heathergate::fleet {
 
 namespace {
@@ -10,27 +10,8 @@
 /// Time after which a new leader has received presence from every running instance.
 constexpr Duration kMemberDiscoveryTime = std::chrono::milliseconds(1500);
 
-/// Maximum difference between the clocks of an upstream and of a control instance.
-constexpr std::chrono::milliseconds kMaxClockDifference = std::chrono::minutes(10);
-/// Minimum average time between two reports of an upstream.
-constexpr std::chrono::milliseconds kMinReportInterval{1};
-
 } // namespace
 
-auto implausibility(const UpstreamReport &report) -> std::optional<std::string>
-{
-    const auto latest = report.receivedAt + kMaxClockDifference;
-    const auto &record = report.record;
-    if (record.startedAt < std::chrono::milliseconds::zero())
-        return "the start lies before 1970";
-    if (record.startedAt > latest)
-        return "the start lies in the future";
-    const auto maxReports = (latest - record.startedAt) / kMinReportInterval;
-    if (record.sequence > static_cast<std::uint64_t>(maxReports))
-        return "the sequence number is too large for the time since the start";
-    return std::nullopt;
-}
-
 auto ControlNode::answerNotLeader(TimePoint now, CallToken token, std::string_view call) -> void
 {
     CallAnswer answer;
@@ -144,7 +125,8 @@
     const auto others = std::count_if(m_members.begin(), m_members.end(), [&](const auto &item) {
         const consensus::ReplicaId replica(item.second.presence.replica);
         return item.first != instance && !replica.empty() && isServing(now, replica)
-               && !m_state.retiring().contains(item.first) && !m_openRetirements.contains(item.first);
+               && !m_state.retiring().contains(item.first)
+               && !m_openRetirements.contains(item.first);
     });
     return static_cast<std::size_t>(others) >= requiredVoters();
 }
@@ -264,109 +246,4 @@
     m_output.answers.push_back(std::move(answer));
 }
 
-auto ControlNode::setUpstream(TimePoint now, const UpstreamRecord &record, std::string_view why,
-                              CommitHandler handler) -> void
-{
-    m_log.add(now, LogImportance::Important, "upstreams", why,
-              {{"upstream", record.id.value},
-               {"service", record.service.value},
-               {"address", record.address.text()},
-               {"phase", static_cast<int>(record.phase)},
-               {"software", record.softwareVersion},
-               {"born", record.startedAt.count()},
-               {"sequence", record.sequence}});
-    auto command = std::make_unique<fb::CommandT>();
-    command->upstream = std::make_unique<fb::SetUpstreamT>();
-    command->upstream->upstream = std::make_unique<fb::UpstreamT>(toTable(record));
-    m_upstreams.propose(record);
-    propose(std::move(command), true,
-            [this, id = record.id, handler = std::move(handler)](TimePoint at, bool committed) {
-                m_upstreams.settle(id);
-                if (handler)
-                    handler(at, committed);
-            });
-}
-
-auto ControlNode::upstreamHeartbeat(TimePoint now, CallToken token, const UpstreamReport &report)
-    -> void
-{
-    if (!isLeader(now))
-        return answerNotLeader(now, token, "heartbeat");
-    const auto &record = report.record;
-    CallAnswer answer;
-    answer.token = token;
-    if (auto reason = implausibility(report)) {
-        m_log.add(now, LogImportance::Important, "upstreams", "heartbeat_implausible",
-                  {{"upstream", record.id.value},
-                   {"detail", *reason},
-                   {"born", record.startedAt.count()},
-                   {"sequence", record.sequence}});
-        answer.status = CallStatus::Invalid;
-        answer.detail = std::move(*reason);
-        m_output.answers.push_back(std::move(answer));
-        return;
-    }
-    using Kind = HeartbeatDecision::Kind;
-    const auto decision = m_upstreams.decide(now, m_state, record);
-    if (decision.kind == Kind::NoClaim) {
-        m_log.add(now, LogImportance::Important, "upstreams", "heartbeat_without_claim",
-                  {{"upstream", record.id.value},
-                   {"service", record.service.value},
-                   {"address", record.address.text()},
-                   {"holder", decision.holder.value}});
-        answer.status = CallStatus::Conflict;
-        answer.detail = "the configuration does not have the service, and another upstream has the "
-                        "identifier or address";
-    }
-    if (decision.kind == Kind::Outdated || decision.kind == Kind::NoClaim) {
-        m_output.answers.push_back(std::move(answer));
-        return;
-    }
-    for (auto other : decision.replaced) {
-        other.phase = UpstreamPhase::Removed;
-        setUpstream(now, other, "replaced", {});
-    }
-    if (decision.kind == Kind::Unchanged
-        || (decision.replaced.empty() && isOvertaken(record))) {
-        m_dispatcher.heartbeat(now, record.id, report.coldRemaining);
-        m_output.answers.push_back(std::move(answer));
-        return;
-    }
-    std::string_view why = decision.kind == Kind::Reclaimed ? "reclaimed" : "registered";
-    if (record.phase == UpstreamPhase::Draining)
-        why = "draining";
-    setUpstream(
-        now, record, why,
-        [this, token, id = record.id, cold = report.coldRemaining](TimePoint at, bool committed) {
-            if (committed)
-                m_dispatcher.heartbeat(at, id, cold);
-            commitAnswer(token)(at, committed);
-        });
-}
-
-auto ControlNode::isOvertaken(const UpstreamRecord &heartbeat) const -> bool
-{
-    const auto *known = m_upstreams.recordOf(m_state, heartbeat.id);
-    return known != nullptr && heartbeat.startedAt == known->startedAt
-           && heartbeat.phase == UpstreamPhase::Ready && m_dispatcher.isRetired(heartbeat.id);
-}
-
-auto ControlNode::upstreamLeft(TimePoint now, CallToken token, const UpstreamId &id) -> void
-{
-    if (!isLeader(now))
-        return answerNotLeader(now, token, "leave");
-    // A record that is on its way to the log would outlast an answer that is given at once.
-    const auto *known = m_upstreams.recordOf(m_state, id);
-    const auto isGone = known == nullptr || known->phase == UpstreamPhase::Removed;
-    if (isGone && !m_upstreams.isProposed(id)) {
-        CallAnswer answer;
-        answer.token = token;
-        m_output.answers.push_back(std::move(answer));
-        return;
-    }
-    auto record = *known;
-    record.phase = UpstreamPhase::Removed;
-    setUpstream(now, record, "left", commitAnswer(token));
-}
-
 } // namespace heathergate::fleet
--- a/libs/fleet/src/control_node.cpp
+++ b/libs/fleet/src/control_node.cpp
@@ -228,31 +228,6 @@
     refreshUpstreams(now);
 }
 
-auto ControlNode::applyEvacuations(TimePoint now) -> void
-{
-    m_metrics.set("heathergate_evacuated_domains", {},
-                  static_cast<double>(m_state.evacuated().size()));
-    if (m_state.evacuated() != m_dispatcher.evacuated())
-        m_dispatcher.setEvacuated(now, m_state.evacuated());
-}
-
-auto ControlNode::rebuildDispatcher(TimePoint now) -> void
-{
-    m_dispatcher = Dispatcher(m_settings.placement);
-    m_dispatcher.setEvacuated(now, m_state.evacuated());
-    m_dispatcher.takeOver(now, m_state.upstreams(), m_state.configuration(),
-                          m_replica.groupTime(now));
-}
-
-auto ControlNode::refreshUpstreams(TimePoint now) -> void
-{
-    applyEvacuations(now);
-    if (std::exchange(m_appliedUpstreamChanges, m_state.upstreamChanges())
-        != m_state.upstreamChanges())
-        m_dispatcher.setUpstreams(now, m_state.upstreams(), m_state.configuration(),
-                                  m_replica.groupTime(now));
-}
-
 auto ControlNode::applyEntry(TimePoint now, const consensus::Entry &entry) -> void
 {
     m_applied = entry.index;
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -167,8 +167,7 @@
             streamIdOf(call.customer, isResumedByCaller ? request.resumedAttempt : request.name);
         // A silent attempt may speak while its replacement is placed and recorded. Whichever of the
         // two goes on, the record is right, because both run the same software version.
-        admission.resumes =
-            call.position.lastEvent() || isResumedByCaller || call.seeksReplacement;
+        admission.resumes = call.position.lastEvent() || isResumedByCaller || call.seeksReplacement;
     }
     if (call.phase == Phase::Running && !call.seeksReplacement)
         admission.runningAt = call.upstream.value;
--- a/libs/fleet/test/control_calls_test.cpp
+++ b/libs/fleet/test/control_calls_test.cpp
@@ -87,7 +87,8 @@
     BOOST_TEST((records.at(UpstreamId("new")).phase == UpstreamPhase::Ready));
 }
 
-// Guards against a leave that is acknowledged at once while a registration is on its way to the log.
+// Guards against a leave that is acknowledged at once while a registration is on its way to the
+// log.
 BOOST_AUTO_TEST_CASE(removesAnUpstreamThatLeavesBeforeItsRegistrationIsRecorded)
 {
     Fleet fleet;
--- a/libs/fleet/test/control_fleet.h
+++ b/libs/fleet/test/control_fleet.h
@@ -160,8 +160,8 @@
         m_suspended.erase(instance);
     }
 
-    /// Calls `handler` for each instance in each round, after the messages of the round are received
-    /// and before its output is taken.
+    /// Calls `handler` for each instance in each round, after the messages of the round are
+    /// received and before its output is taken.
     auto onRound(std::function<void(const std::string &, ControlNode &)> handler) -> void
     {
         m_onRound = std::move(handler);
--- a/libs/fleet/test/control_node_test.cpp
+++ b/libs/fleet/test/control_node_test.cpp
@@ -269,9 +269,8 @@
 // Guards against a read that a new leader answers before it has applied what was committed.
 BOOST_FIXTURE_TEST_CASE(theFirstReadInAnyRoundShowsTheNewestConfiguration, RestartedFleet)
 {
-    const auto answer = answerInEachRound([&](ControlNode &node, CallToken token) {
-        node.readConfiguration(fleet.now(), token);
-    });
+    const auto answer = answerInEachRound(
+        [&](ControlNode &node, CallToken token) { node.readConfiguration(fleet.now(), token); });
     BOOST_TEST(answer.document == std::to_string(kLastVersion));
 }
 
--- a/libs/http/test/client_test.cpp
+++ b/libs/http/test/client_test.cpp
@@ -120,9 +120,10 @@
 // Guards against an answer whose status is none, and that is recorded or passed on.
 BOOST_AUTO_TEST_CASE(takesNoResponseWithoutAValidStatus)
 {
-    for (const auto *line : {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols",
-                             "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 20 OK",
-                             "HTTP/1.1 0200 OK", "HTTP/1.1 OK"}) {
+    for (const auto *line :
+         {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols",
+          "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK",
+          "HTTP/1.1 OK"}) {
         const auto end = exchange(std::string(line) + "\r\nContent-Length: 3\r\n\r\nabc");
         BOOST_TEST(!end.complete, line);
         BOOST_TEST(end.sent, line);
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -636,9 +636,10 @@
 // Guards against a caller that gets an answer whose status is none, or waits for another one.
 BOOST_AUTO_TEST_CASE(refusesAResponseWithoutAValidStatusAtOnce)
 {
-    for (const auto *line : {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols",
-                             "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 20 OK",
-                             "HTTP/1.1 0200 OK", "HTTP/2.0 200 OK", "HTTP/1.1 \r\n\r\n"}) {
+    for (const auto *line :
+         {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols",
+          "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK",
+          "HTTP/2.0 200 OK", "HTTP/1.1 \r\n\r\n"}) {
         for (const std::string before : {"", "HTTP/1.1 103 Early\r\n\r\n"}) {
             BOOST_TEST_CONTEXT("after '" << before << "': " << line)
             {
