--- a/scripts/planned-stop-test.py
+++ b/scripts/planned-stop-test.py
@@ -13,6 +13,7 @@
 import random
 import signal
 import sys
+import tempfile
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "review"))
@@ -78,15 +79,28 @@
     return answers
 
 
-def main():
+def link_deployment(folder, binary):
+    """Links the deploy file and the binary where the fleet looks for them, without a bench build."""
+    os.symlink(os.path.join(ROOT, "deploy"), os.path.join(folder, "deploy"))
+    os.mkdir(os.path.join(folder, "target"))
+    os.symlink(os.path.abspath(binary), os.path.join(folder, "target", "heathergate"))
+
+
+def stop_a_gateway():
     fleet = fleet2.Fleet(controls=3, gateways=1)
-    for role in fleet.roles.values():
-        role["run"] = os.path.abspath(sys.argv[1]) + " join"
     try:
         fleet.start()
         answers = asyncio.run(play(fleet))
     finally:
         fleet.stop()
+    return answers
+
+
+def main():
+    with tempfile.TemporaryDirectory(prefix="heathergate-stop-") as folder:
+        link_deployment(folder, sys.argv[1])
+        fleet2.ROOT = folder
+        answers = stop_a_gateway()
     for sent, status in answers:
         print(f"sent {sent:.2f} s after the signal: {status}")
     cut = [sent for sent, status in answers if status == 0]
