Elect a leader while disks are slower than the election timeout

Cause: a candidate asks for votes once its own is durable, and each vote comes once the voter's is, but pre-votes need no disk. Its timer (82 to 165 ms after a start, 330 to 660 ms later) ran out before the votes came, the pre-vote for the next term succeeded, and the votes that were on their way counted no more; so on in each term. Ruled out: links that were not up (the term would not have risen). Change: the election timer stands still while a term or vote is being written, and starts again longer by the time of that write. Votes and pre-votes are counted apart, so that a candidate counts votes until it enters the next term.

--- a/libs/consensus/include/heathergate/consensus/replica.h
+++ b/libs/consensus/include/heathergate/consensus/replica.h
@@ -140,7 +140,9 @@
     auto handle(TimePoint now, const ReplicaId &from, const TransferRequest &request) -> void;
     auto becomeFollower(TimePoint now, Term term, std::optional<ReplicaId> leader) -> void;
     auto becomeLeader(TimePoint now) -> void;
-    auto resetElectionTimer(TimePoint now) -> void;
+    /// Restarts the election timer. `writeTime` is the time that the last write of the hard state
+    /// took if it has just ended: the replies to a candidate wait for such writes at the others.
+    auto resetElectionTimer(TimePoint now, Duration writeTime = {}) -> void;
     [[nodiscard]] auto hasLeaderContact(TimePoint now) const -> bool;
     [[nodiscard]] auto isUpToDate(Index lastIndex, Term lastTerm) const -> bool;
 
@@ -183,7 +185,10 @@
     // Output.
     auto send(const ReplicaId &to, Message message) -> void;
     auto sendAfterWrites(const ReplicaId &to, Message message) -> void;
-    auto writeHardState() -> void;
+    auto writeHardState(TimePoint now) -> void;
+    /// Returns whether a term or a vote is not durable yet. Until then this replica sends nothing,
+    /// so that its election timer stands still.
+    [[nodiscard]] auto isWritingHardState() const -> bool;
     auto writeEntries(std::vector<Entry> entries) -> void;
     auto addWrite(StorageWrite write) -> std::uint64_t;
     [[nodiscard]] auto termCommitted() const -> bool;
@@ -222,7 +227,11 @@
     bool m_hadLeaderContact = false;
     /// Round of the leader's last request, which later acknowledgements repeat.
     TimePoint m_lastRound{};
+    /// Votes of the current term. A candidate counts them until its term ends, also while it asks
+    /// for pre-votes, because voters reply as late as their disks are slow.
     std::set<ReplicaId> m_votes;
+    /// Pre-votes for the next term.
+    std::set<ReplicaId> m_preVotes;
     bool m_isPreVoting = false;
 
     std::map<ReplicaId, internal::Progress> m_progress;
@@ -235,6 +244,8 @@
     std::uint64_t m_lastWrite = 0;
     /// Messages are deferred until this write is durable.
     std::uint64_t m_lastHardStateWrite = 0;
+    /// Start of the earliest write of the hard state that is not durable yet.
+    TimePoint m_hardStateWriteBegunAt{};
     std::uint64_t m_syncedWrite = 0;
     std::deque<PendingWrite> m_pendingWrites;
     std::deque<DeferredMessage> m_deferredMessages;
--- a/libs/consensus/src/election.cpp
+++ b/libs/consensus/src/election.cpp
@@ -14,9 +14,8 @@
 {
     m_leader.reset();
     m_isPreVoting = true;
-    m_role = Role::Follower;
-    m_votes = {m_self};
-    if (m_votes.size() >= m_configuration.quorum()) {
+    m_preVotes = {m_self};
+    if (m_preVotes.size() >= m_configuration.quorum()) {
         startElection(now, false);
         return;
     }
@@ -30,7 +29,7 @@
     m_leader.reset();
     ++m_hardState.term;
     m_hardState.vote = m_self;
-    writeHardState();
+    writeHardState(now);
     m_votes = {m_self};
     resetElectionTimer(now);
     if (m_votes.size() >= m_configuration.quorum())
@@ -75,7 +74,7 @@
                          && m_configuration.isVoter(m_self);
     if (granted && m_hardState.vote.empty()) {
         m_hardState.vote = from;
-        writeHardState();
+        writeHardState(now);
     }
     if (granted)
         resetElectionTimer(now);
@@ -93,8 +92,9 @@
                              : m_role == Role::Candidate && reply.term == m_hardState.term;
     if (!awaited || !reply.granted || !m_configuration.isVoter(from))
         return;
-    m_votes.insert(from);
-    if (m_votes.size() < m_configuration.quorum())
+    auto &votes = reply.preVote ? m_preVotes : m_votes;
+    votes.insert(from);
+    if (votes.size() < m_configuration.quorum())
         return;
     if (reply.preVote)
         startElection(now, false);
@@ -124,12 +124,13 @@
     if (term == m_hardState.term)
         return;
     m_hardState = HardState{term, ReplicaId{}};
-    writeHardState();
+    writeHardState(now);
 }
 
 auto Replica::becomeLeader(TimePoint now) -> void
 {
     m_role = Role::Leader;
+    m_isPreVoting = false;
     m_leader = m_self;
     m_leaderElectedAt = now;
     m_hadLeaderContact = true;
@@ -142,20 +143,14 @@
     m_termStartIndex = appendLocal(now, EntryKind::Empty, {});
 }
 
-auto Replica::resetElectionTimer(TimePoint now) -> void
+auto Replica::resetElectionTimer(TimePoint now, Duration writeTime) -> void
 {
-    const auto jitter = [&](Duration range) {
-        return Duration(
-            static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(range.count()))));
-    };
-    const auto timeout = m_settings.electionTimeout;
     // After a start the group may have no leader. An early pre-vote cannot depose an existing
     // leader, because replicas in contact with it do not answer.
-    if (m_hadLeaderContact)
-        m_electionDeadline = now + timeout + jitter(timeout);
-    else
-        m_electionDeadline =
-            now + timeout / kStartTimeoutDivisor + jitter(timeout / kStartTimeoutDivisor);
+    const auto divisor = m_hadLeaderContact ? 1 : kStartTimeoutDivisor;
+    const auto timeout = m_settings.electionTimeout / divisor + writeTime;
+    const auto jitter = m_random.below(static_cast<std::uint64_t>(timeout.count()));
+    m_electionDeadline = now + timeout + Duration(static_cast<std::int64_t>(jitter));
 }
 
 auto Replica::hasLeaderContact(TimePoint now) const -> bool
--- a/libs/consensus/src/replica.cpp
+++ b/libs/consensus/src/replica.cpp
@@ -77,7 +77,7 @@
         sendHeartbeats(now);
         return;
     }
-    if (now < m_electionDeadline)
+    if (now < nextDeadline())
         return;
     if (wasSuspended) {
         m_electionDeadline = now + m_settings.heartbeatInterval;
@@ -90,7 +90,10 @@
 
 auto Replica::synced(TimePoint now, std::uint64_t number) -> void
 {
+    const auto wasWritingHardState = isWritingHardState();
     m_syncedWrite = std::max(m_syncedWrite, number);
+    if (wasWritingHardState && !isWritingHardState())
+        resetElectionTimer(now, now - m_hardStateWriteBegunAt);
     while (!m_pendingWrites.empty() && m_pendingWrites.front().number <= number) {
         const auto &write = m_pendingWrites.front();
         // The entry may have been truncated or replaced after the write was queued.
@@ -107,7 +110,6 @@
         advanceCommit();
     else
         acknowledgeDurableEntries();
-    static_cast<void>(now);
 }
 
 auto Replica::propose(TimePoint now, std::string payload) -> Result<Index>
@@ -178,7 +180,7 @@
 auto Replica::nextDeadline() const -> TimePoint
 {
     if (m_role != Role::Leader)
-        return m_electionDeadline;
+        return isWritingHardState() ? TimePoint::max() : m_electionDeadline;
     auto deadline = TimePoint::max();
     for (const auto &[id, progress] : m_progress)
         deadline = std::min(deadline, progress.lastSent + m_settings.heartbeatInterval);
@@ -187,19 +189,26 @@
 
 auto Replica::send(const ReplicaId &to, Message message) -> void
 {
-    if (m_lastHardStateWrite > m_syncedWrite)
+    if (isWritingHardState())
         m_deferredMessages.push_back({m_lastHardStateWrite, {m_self, to, std::move(message)}});
     else
         m_effects.messages.push_back({m_self, to, std::move(message)});
 }
 
-auto Replica::writeHardState() -> void
+auto Replica::writeHardState(TimePoint now) -> void
 {
+    if (!isWritingHardState())
+        m_hardStateWriteBegunAt = now;
     StorageWrite write;
     write.hardState = m_hardState;
     m_lastHardStateWrite = addWrite(std::move(write));
 }
 
+auto Replica::isWritingHardState() const -> bool
+{
+    return m_lastHardStateWrite > m_syncedWrite;
+}
+
 auto Replica::writeEntries(std::vector<Entry> entries) -> void
 {
     StorageWrite write;
--- a/libs/consensus/test/replica_test.cpp
+++ b/libs/consensus/test/replica_test.cpp
@@ -134,6 +134,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenADiskSyncTakesLongerThanTheElectionTimeout)
+
+// Guards against votes that wait for slow disks and are counted no more once they arrive.
+BOOST_AUTO_TEST_CASE(aLeaderIsElectedAtTheStart)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ConsensusGroup group(seed, kThreeVoters);
+        group.setSyncTime(1s);
+        // A vote of the candidate, one of a voter and the first entry are synced one after the
+        // other; a split vote may need another term.
+        BOOST_TEST(!group.runUntilLeader(10s).empty(), "seed " << seed);
+        BOOST_TEST(group.violation() == "");
+    }
+}
+
+// Guards against the same after the loss of a leader.
+BOOST_AUTO_TEST_CASE(aLeaderIsElectedAfterTheLossOfTheFormerOne)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ConsensusGroup group(seed, kThreeVoters);
+        const auto former = group.runUntilLeader(5s);
+        group.setSyncTime(1s);
+        group.crash(former);
+        BOOST_TEST(!group.runUntilLeader(10s).empty(), "seed " << seed);
+        BOOST_TEST(group.violation() == "");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAllReplicasAreSuspended)
 
 BOOST_AUTO_TEST_CASE(theLeaderKeepsItsTermAfterAShortPause)
--- a/libs/testing/include/heathergate/testing/consensus_group.h
+++ b/libs/testing/include/heathergate/testing/consensus_group.h
@@ -40,6 +40,8 @@
     auto setIsolated(const std::string &name, bool isolated) -> void;
     /// Sets the drift of a replica's clock in parts per million of true time.
     auto setClockError(const std::string &name, std::int64_t ppm) -> void;
+    /// Sets the time that a disk sync takes at all replicas from the next one on.
+    auto setSyncTime(Duration syncTime) -> void;
     /// Stops or resumes disk syncs at a replica.
     auto setDiskStalled(const std::string &name, bool diskStalled) -> void;
 
@@ -95,6 +97,7 @@
     Random m_random;
     ManualClock m_clock;
     TimePoint m_startedAt{};
+    Duration m_syncTime = std::chrono::milliseconds(2);
     FakeLink<consensus::Envelope> m_link;
     std::map<std::string, Node> m_nodes;
     std::map<consensus::Index, consensus::Entry> m_committed;
--- a/libs/testing/src/consensus_group.cpp
+++ b/libs/testing/src/consensus_group.cpp
@@ -5,7 +5,6 @@
 namespace {
 
 constexpr Duration kStep = std::chrono::milliseconds(1);
-constexpr Duration kSyncTime = std::chrono::milliseconds(2);
 
 } // namespace
 
@@ -22,6 +21,11 @@
         start(name, m_nodes[name]);
 }
 
+auto ConsensusGroup::setSyncTime(Duration syncTime) -> void
+{
+    m_syncTime = syncTime;
+}
+
 auto ConsensusGroup::run(Duration time) -> void
 {
     const auto end = m_clock.now() + time;
@@ -183,7 +187,7 @@
         checkAgreement(name, entry);
     }
     if (node.unsynced.empty() && !effects.writes.empty())
-        node.syncAt = m_clock.now() + kSyncTime;
+        node.syncAt = m_clock.now() + m_syncTime;
     for (auto &write : effects.writes)
         node.unsynced.push_back(std::move(write));
     for (auto &envelope : effects.messages) {
