Refuse requests with a space in the name of a header

Cause: http_parser accepts spaces in names, itself applies some such headers, and hands on the names with the space, so that no comparison holds. Change: such a request gets 400 and its connection is closed (RFC 9112, 5.1). In responses the parser removes spaces before colons, as the RFC asks of a proxy, so that what an upstream states there counts; a space inside a name is no answer. `serve` uses other parsers and was not examined.

--- a/libs/net/include/heathergate/net/http_parser.h
+++ b/libs/net/include/heathergate/net/http_parser.h
@@ -45,6 +45,11 @@
     {
         return m_fields.back();
     }
+    /// Removes the spaces between names and their colons, as a proxy does in a response before it
+    /// reads or forwards it (RFC 9112, 5.1).
+    auto trimNames() -> void;
+    /// Returns whether a name has a space, also one before its colon.
+    [[nodiscard]] auto hasSpaceInName() const -> bool;
 
 private:
     std::vector<Header> m_fields;
--- a/libs/net/src/http_parser.cpp
+++ b/libs/net/src/http_parser.cpp
@@ -56,6 +56,19 @@
                       [&](const Header &field) { return equalNames(field.name, name); }));
 }
 
+auto HeaderList::trimNames() -> void
+{
+    for (auto &field : m_fields)
+        field.name.erase(field.name.find_last_not_of(' ') + 1);
+}
+
+auto HeaderList::hasSpaceInName() const -> bool
+{
+    return std::any_of(m_fields.begin(), m_fields.end(), [](const Header &field) {
+        return field.name.find(' ') != std::string::npos;
+    });
+}
+
 HttpParser::HttpParser(Kind kind, std::size_t maxHeadBytes, Handlers handlers)
     : m_type(kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE)
     , m_maxHeadBytes(maxHeadBytes)
@@ -139,7 +152,11 @@
         if (!status)
             return -1;
         m_head.status = *status;
+        m_head.headers.trimNames();
     }
+    // The parser accepts spaces in names, and applies some of these headers all the same.
+    if (m_head.headers.hasSpaceInName())
+        return -1;
     m_head.chunked = (m_parser.flags & F_CHUNKED) != 0;
     if (!m_head.chunked && m_parser.content_length != kUnknownLength)
         m_head.contentLength = m_parser.content_length;
--- a/libs/net/test/http_test.cpp
+++ b/libs/net/test/http_test.cpp
@@ -347,6 +347,22 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 400 "));
 }
 
+// Guards against a header that this server takes for another one than the upstream does, so that it
+// is forwarded past the list of reserved headers.
+BOOST_AUTO_TEST_CASE(refusesASpaceInAHeaderName)
+{
+    for (const std::string field :
+         {"Api-Key : key", "X-Heathergate-Tenant  : t", "Content-Length : 3",
+          "Transfer-Encoding : chunked", "Two words: x"}) {
+        received.clear();
+        stream.reset();
+        send("POST / HTTP/1.1\r\nHost: h\r\n" + field + "\r\n\r\n0\r\n\r\n");
+        BOOST_TEST(requests.empty(), field);
+        BOOST_TEST(received.starts_with("HTTP/1.1 400 "), field);
+        BOOST_TEST(closed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refusesBytesThatAreNotARequest)
 {
     send("\x16\x03\x01 this is not a request\r\n\r\n");
@@ -696,6 +712,24 @@
         sendRequest();
         accepted.back()->write(start);
         std::string more;
+BOOST_AUTO_TEST_CASE(removesSpacesBeforeTheColonsOfAResponse)
+{
+    sendRequest();
+    sendResponse("HTTP/1.1 200 OK\r\nId : 7\r\nX-Own  : one\r\nContent-Length : 1\r\n\r\na");
+    BOOST_TEST_REQUIRE(ends.size() == 1U);
+    BOOST_TEST(ends[0].complete);
+    BOOST_TEST(heads.at(0).headers.value("X-Own") == "one");
+}
+
+BOOST_AUTO_TEST_CASE(refusesAResponseWithASpaceInsideAHeaderName)
+{
+    sendRequest();
+    sendResponse("HTTP/1.1 200 OK\r\nId: 7\r\nTwo words: x\r\nContent-Length: 1\r\n\r\na");
+    BOOST_TEST_REQUIRE(ends.size() == 1U);
+    BOOST_TEST(!ends[0].complete);
+    BOOST_TEST(heads.empty());
+}
+
         while (more.size() < 256 * 1024)
             more += repeated;
         std::size_t sent = 0;
