Count a request that breaks its upstreams by customer, not by key

Cause: the fingerprint by which such requests are counted held the key. The adapter that computed it knows no customers. Ruled out: that a new configuration loses the counts; they are part of none, and the fingerprints of two keys differed. Change: the adapter hashes target and body; the gateway, which knows whose key it is, adds the customer.

--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -36,7 +36,7 @@
     /// The request is a stream that must not run twice, so that it needs a new connection unless
     /// one was used recently.
     bool needsRecentConnection = false;
-    /// Identical for requests with the same caller, path and body.
+    /// Identical for requests with the same customer, target and body.
     std::uint64_t fingerprint = 0;
     /// Upstreams at which the request is not placed.
     std::vector<UpstreamId> avoid;
--- a/libs/fleet/include/heathergate/fleet/gateway.h
+++ b/libs/fleet/include/heathergate/fleet/gateway.h
@@ -73,8 +73,8 @@
     /// The name of the caller's attempt that brought the first event of the stream that it resumes;
     /// empty if it names none.
     std::string resumedAttempt;
-    /// Identical for requests with the same caller, path and body.
-    std::uint64_t fingerprint = 0;
+    /// Identical for requests with the same target and body, whoever sends them.
+    std::uint64_t contentHash = 0;
     /// The turn that this one continues; empty for the first turn of a chain.
     history::TurnId previousTurn;
     /// Body of the request; shared with the adapter.
--- a/libs/fleet/include/heathergate/fleet/poison_register.h
+++ b/libs/fleet/include/heathergate/fleet/poison_register.h
@@ -10,14 +10,14 @@
 /// How often the responses to a request were broken off since its last complete response.
 struct RequestFailures
 {
-    /// Identifies the request by its caller, path and body.
+    /// Identifies the request by its customer, target and body.
     std::uint64_t fingerprint = 0;
     /// 0 after a complete response.
     int failures = 0;
 };
 
 /// Detects poison requests: requests that break every upstream that runs them, so that they are
-/// rejected after a few failures. Requests are identified by a fingerprint of caller, path and
+/// rejected after a few failures. Requests are identified by a fingerprint of customer, target and
 /// body.
 class PoisonRegister
 {
--- a/libs/fleet/src/gateway_calls.cpp
+++ b/libs/fleet/src/gateway_calls.cpp
@@ -22,6 +22,13 @@
 /// Retry delay for a caller of a gateway that has not received a configuration yet.
 constexpr Duration kNoConfigurationRetryAfter = std::chrono::milliseconds(300);
 
+/// Identifies a request by what it asks for and by the customer, who may hold several keys and
+/// exchange them.
+auto fingerprintOf(const CustomerId &customer, const CallerRequest &request) -> std::uint64_t
+{
+    return hash64(customer.value, request.contentHash);
+}
+
 auto callError(Code code, std::string detail, Ran ran, Duration retryAfter = {}) -> Error
 {
     return Error{code, std::move(detail), ran, retryAfter};
@@ -156,7 +163,7 @@
     for (const auto &part : request.prompt)
         admission.prompt.emplace_back(part.id, part.tokens);
     admission.expectedTokens = static_cast<int>(request.expectedTokens);
-    admission.fingerprint = request.fingerprint;
+    admission.fingerprint = fingerprintOf(call.customer, request);
     for (const auto &upstream : call.avoid)
         admission.avoid.push_back(upstream.value);
     admission.again = call.admittedBefore;
--- a/libs/fleet/test/gateway_fixture.h
+++ b/libs/fleet/test/gateway_fixture.h
@@ -62,7 +62,8 @@
         add("/once/", RouteKind::Stream, "engines", 1, false);
         add("/safe/", RouteKind::Safe, "tools", 2, false);
         add("/unsafe/", RouteKind::Unsafe, "tools", 3, false);
-        result.customers.push_back({CustomerId("c"), {"key"}, 0, 0, 0});
+        result.customers.push_back({CustomerId("c"), {"key", "second key"}, 0, 0, 0});
+        result.customers.push_back({CustomerId("d"), {"key of d"}, 0, 0, 0});
         return result;
     }
 
--- a/libs/fleet/test/gateway_test.cpp
+++ b/libs/fleet/test/gateway_test.cpp
@@ -34,6 +34,19 @@
     BOOST_TEST((refused[2].error.code == Code::MissingKey));
 }
 
+// Guards against a request that breaks its upstreams and runs again under each key of its customer
+// (review case 10).
+BOOST_AUTO_TEST_CASE(identifiesARequestByItsCustomerAndNotByTheKey)
+{
+    request("/unsafe/x", "key");
+    request("/unsafe/x", "second key");
+    request("/unsafe/x", "key of d");
+    const auto admissions = take<fb::AdmissionT>();
+    BOOST_TEST_REQUIRE(admissions.size() == 3U);
+    BOOST_TEST(admissions[0].fingerprint == admissions[1].fingerprint);
+    BOOST_TEST(admissions[0].fingerprint != admissions[2].fingerprint);
+}
+
 BOOST_AUTO_TEST_CASE(neverRevertsToAnOlderVersion)
 {
     feed(kLeader, 1, 9);
