Forget the idle connections of an upstream that has closed them

Cause: after its connections were lost, an upstream still counted as connected for 3 s after its last response, so that its next heartbeat made its incarnation known, and a restart after that heartbeat would have shown to nobody. Change: a loss of connections forgets the time of the last response. Evidence: the last check of beginsAtAKnownIncarnationOnlyIfAConnectionIsOlderThanAHeartbeat red before.

--- a/libs/fleet/src/dispatcher_upstreams.cpp
+++ b/libs/fleet/src/dispatcher_upstreams.cpp
@@ -129,7 +129,10 @@
 {
     std::vector<UpstreamId> doubted;
     for (auto &[id, upstream] : m_upstreams) {
-        if (upstream.record.address == address && upstream.watch.connectionsLost(now))
+        if (upstream.record.address != address)
+            continue;
+        upstream.lastAnsweredAt.reset();
+        if (upstream.watch.connectionsLost(now))
             doubted.push_back(id);
     }
     return doubted;
--- a/libs/fleet/test/dispatcher_streams_test.cpp
+++ b/libs/fleet/test/dispatcher_streams_test.cpp
@@ -213,6 +213,11 @@
     const auto [fourth, atFourth] = certaintyOfNext();
     BOOST_TEST((atFourth == IncarnationCertainty::Unconfirmed), "no connection is left");
     finish(fourth);
+    static_cast<void>(doubt("old"));
+    dispatcher.heartbeat(now, UpstreamId("old"), 0ms);
+    const auto [fifth, atFifth] = certaintyOfNext();
+    BOOST_TEST((atFifth == IncarnationCertainty::Unconfirmed), "none is open again");
+    finish(fifth);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
