Resume streams of a doubted upstream while one version serves

Cause: a stream that began at an upstream whose connections were lost was refused also if no other version of the service was known. Change: the doubts count only while the service has, or had recently, several versions; they stay on record for when one is added.

--- a/libs/fleet/src/control_streams.cpp
+++ b/libs/fleet/src/control_streams.cpp
@@ -22,7 +22,7 @@
         return {};
     auto origin = m_state.streams().originOf(m_replica.groupTime(now), message.stream,
                                              ServiceId(message.service));
-    if (m_doubtedStreams.contains(message.stream))
+    if (!origin.isOnlyVersion && m_doubtedStreams.contains(message.stream))
         origin = {StreamOrigin::Kind::Unknown};
     m_metrics.count("heathergate_streams_resumed_total",
                     {{"origin", std::string(originText(origin.kind))}});
--- a/libs/fleet/src/stream_origins.cpp
+++ b/libs/fleet/src/stream_origins.cpp
@@ -149,11 +149,9 @@
     const auto service = m_services.find(serviceId);
     if (service == m_services.end())
         return {StreamOrigin::Kind::Any};
-    if (isRecorded(id, serviceId, {}))
-        return {StreamOrigin::Kind::Unknown};
     if (!isMixed(now, service->second))
         return onlyVersionOf(now, service->second);
-    if (id == 0)
+    if (id == 0 || isRecorded(id, serviceId, {}))
         return {StreamOrigin::Kind::Unknown};
     const auto found = m_streams.find(id);
     if (found != m_streams.end()) {
--- a/libs/fleet/test/control_streams_test.cpp
+++ b/libs/fleet/test/control_streams_test.cpp
@@ -192,6 +192,17 @@
     BOOST_TEST(resume(kStream) == kVersionGone);
 }
 
+// Guards against refusals after each failure of an upstream while no other version is in sight.
+BOOST_AUTO_TEST_CASE(goesOnWithSuchAStreamWhileOnlyOneVersionIsKnown)
+{
+    add("old2", "v1", 1, 9001);
+    BOOST_TEST(begin(kStream, "old2") == "old");
+    loseConnections(9000);
+    BOOST_TEST(resume(kStream) == "old2");
+    BOOST_TEST(begin(kStream + 1, "old2") == "old");
+    BOOST_TEST(resume(kStream + 1, "old") == "old2");
+}
+
 // Guards against the same at an upstream to which no connection was open when it restarted; also
 // for a stream that is resumed before its doubts are recorded.
 BOOST_AUTO_TEST_CASE(refusesAStreamOfTheFirstConnectionOnceItsUpstreamIsInDoubt)
