Let doubts place streams only while several versions serve

Change: placement weighs the doubts only while the service has several versions, and the election timer starts again after a write only if that gave a vote, as it did before. The tests of both changes stay green.

--- a/libs/consensus/src/replica.cpp
+++ b/libs/consensus/src/replica.cpp
@@ -92,7 +92,8 @@
 {
     const auto wasWritingHardState = isWritingHardState();
     m_syncedWrite = std::max(m_syncedWrite, number);
-    if (wasWritingHardState && !isWritingHardState())
+    const auto hasVoted = !m_hardState.vote.empty();
+    if (wasWritingHardState && !isWritingHardState() && hasVoted)
         resetElectionTimer(now, now - m_hardStateWriteBegunAt);
     while (!m_pendingWrites.empty() && m_pendingWrites.front().number <= number) {
         const auto &write = m_pendingWrites.front();
--- a/libs/fleet/include/heathergate/fleet/dispatcher.h
+++ b/libs/fleet/include/heathergate/fleet/dispatcher.h
@@ -45,8 +45,9 @@
     std::optional<UpstreamId> pinnedUpstream;
     /// Software version at which a stream that has begun has to go on.
     StreamOrigin origin;
-    /// The request is a stream that may be resumed later, at the software version that began it.
-    bool isResumable = false;
+    /// The request is a stream that begins while several software versions serve, so that it can
+    /// be resumed only at the version that begins it.
+    bool needsKnownVersion = false;
 };
 
 /// Assigns a request to an upstream.
--- a/libs/fleet/src/control_admission.cpp
+++ b/libs/fleet/src/control_admission.cpp
@@ -59,7 +59,8 @@
         work.finishBy = now + Duration(message.finishIn);
     work.prompt = prefixesOf(message);
     work.needsRecentConnection = message.stream == 0 && !message.prompt.empty();
-    work.isResumable = message.stream != 0;
+    work.needsKnownVersion =
+        message.stream != 0 && m_state.streams().isRecording(m_replica.groupTime(now));
     work.expectedTokens = message.expectedTokens;
     work.fingerprint = message.fingerprint;
     for (const auto &upstream : message.avoid)
--- a/libs/fleet/src/dispatcher_upstreams.cpp
+++ b/libs/fleet/src/dispatcher_upstreams.cpp
@@ -322,9 +322,9 @@
 auto Dispatcher::risksVersion(const Upstream &upstream, const Work &work) -> bool
 {
     const auto certainty = upstream.watch.certainty();
-    return work.origin.kind == StreamOrigin::Kind::One
-               ? certainty != IncarnationCertainty::Known
-               : work.isResumable && certainty == IncarnationCertainty::Doubtful;
+    if (work.origin.kind == StreamOrigin::Kind::One)
+        return !work.origin.isOnlyVersion && certainty != IncarnationCertainty::Known;
+    return work.needsKnownVersion && certainty == IncarnationCertainty::Doubtful;
 }
 
 auto Dispatcher::hasCompatibleUpstream(const Work &work) const -> bool
--- a/libs/fleet/test/dispatcher_streams_test.cpp
+++ b/libs/fleet/test/dispatcher_streams_test.cpp
@@ -34,7 +34,7 @@
     auto newStream() -> Work
     {
         auto result = work(kEngines);
-        result.isResumable = true;
+        result.needsKnownVersion = true;
         return result;
     }
 
