--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -438,8 +438,9 @@
                                   f"{headers.get('x-heathergate-tenant')}")
                 await self.run(self, writer, run)
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError,
+                asyncio.CancelledError):
+            pass  # The peer has left, or the case ends.
         finally:
             self._connections.discard(writer)
             writer.close()
