--- /dev/null
+++ b/review/left-out-3/ids-in-steps/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Plays the case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 -B case.py
